--- /dev/null
+++ b/internal/version/parser/form.go
@@ -0,0 +1,113 @@
+package parser
+
+import (
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// form is one way of writing a value. Every value is held as a float64, which
+// is exact for all bounds in the table: durations are counted in nanoseconds,
+// sizes in bytes, flags as 0 and 1, choices by their index.
+type form struct {
+	// name is the unit shown in the reference.
+	name string
+	// hint says how to write a value.
+	hint  string
+	read  func(text string) (float64, bool)
+	write func(value float64) string
+}
+
+var (
+	countShape   = regexp.MustCompile(`^[0-9]{1,15}$`)
+	decimalShape = regexp.MustCompile(`^[0-9]{1,12}(\.[0-9]{1,9})?$`)
+	sizeShape    = regexp.MustCompile(`^([0-9]{1,9})(B|KiB|MiB)$`)
+	timeShape    = regexp.MustCompile(`^([0-9]+(\.[0-9]+)?(us|ms|s|m|h))+$`)
+)
+
+var (
+	durationForm = &form{"duration", "a number with a unit, such as 250ms, 5s or 2m", readDuration, writeDuration}
+	countForm    = &form{"count", "a whole number without a unit, such as 64", readCount, writeNumber}
+	decimalForm  = &form{"per second", "a number without a unit, such as 2000", readDecimal, writeNumber}
+	ratioForm    = &form{"ratio", "a number from 0 to 1, such as 0.02", readDecimal, writeNumber}
+	sizeForm     = &form{"size", "a whole number with B, KiB or MiB, such as 64KiB", readSize, writeSize}
+	flagForm     = choice("flag", "false", "true")
+	priorityForm = choice("priority", "urgent", "normal", "queued")
+)
+
+func readDuration(text string) (float64, bool) {
+	if !timeShape.MatchString(text) {
+		return 0, false
+	}
+	v, err := time.ParseDuration(text)
+	return float64(v), err == nil
+}
+
+func writeDuration(value float64) string {
+	text := time.Duration(value).String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
+}
+
+func readCount(text string) (float64, bool) {
+	if !countShape.MatchString(text) {
+		return 0, false
+	}
+	return readDecimal(text)
+}
+
+func readDecimal(text string) (float64, bool) {
+	if !decimalShape.MatchString(text) && !countShape.MatchString(text) {
+		return 0, false
+	}
+	v, err := strconv.ParseFloat(text, 64)
+	return v, err == nil
+}
+
+func writeNumber(value float64) string {
+	return strconv.FormatFloat(value, 'f', -1, 64)
+}
+
+var sizeUnits = map[string]float64{"B": 1, "KiB": 1 << 10, "MiB": 1 << 20}
+
+func readSize(text string) (float64, bool) {
+	parts := sizeShape.FindStringSubmatch(text)
+	if parts == nil {
+		return 0, false
+	}
+	v, ok := readDecimal(parts[1])
+	return v * sizeUnits[parts[2]], ok
+}
+
+func writeSize(value float64) string {
+	for _, name := range []string{"MiB", "KiB"} {
+		unit := sizeUnits[name]
+		if value >= unit && int64(value)%int64(unit) == 0 {
+			return writeNumber(value/unit) + name
+		}
+	}
+	return writeNumber(value) + "B"
+}
+
+// choice is a form whose values are the indexes of names.
+func choice(name string, names ...string) *form {
+	return &form{
+		name: name,
+		hint: "one of " + strings.Join(names, ", "),
+		read: func(text string) (float64, bool) {
+			for i, v := range names {
+				if v == text {
+					return float64(i), true
+				}
+			}
+			return 0, false
+		},
+		write: func(value float64) string { return names[int(value)] },
+	}
+}
