Add stand-ins for the platform, the targets and the recorder

The whole path needs a platform to read, targets to run work and a record of what ran that outlives a killed target.

--- /dev/null
+++ b/internal/standin/commander/doc.go
@@ -0,0 +1,2 @@
+// Package commander is the command line of the stand-ins: one verb for each.
+package commander
