--- /dev/null
+++ b/internal/process/dispatcher/offer.go
@@ -0,0 +1,288 @@
+package dispatcher
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"oriolecourse.example/oriolecourse/internal/request/chooser"
+	"oriolecourse.example/oriolecourse/internal/request/queuer"
+	"oriolecourse.example/oriolecourse/internal/request/retrier"
+	"oriolecourse.example/oriolecourse/internal/version/resolver"
+)
+
+// Want states what a request wants.
+type Want struct {
+	// Policy holds the settings of the request's kind.
+	Policy *resolver.Policy
+	// Deadline is when the answer is due; zero means the kind's from now on.
+	Deadline time.Time
+	// Exclude lists targets that have had the request before.
+	Exclude []netip.AddrPort
+	// Tries counts earlier tries of the request; they fill no budget.
+	Tries int
+	// Now is the present time of Acquire.
+	Now time.Time
+}
+
+func (w *Want) due(now time.Time) time.Time {
+	if w.Deadline.IsZero() {
+		return now.Add(w.Policy.Deadline)
+	}
+	return w.Deadline
+}
+
+// Refusal says why a request was not granted a target. It was not run.
+type Refusal struct {
+	Cause queuer.Cause
+	// Retry is when to come back; 0 when coming back is useless.
+	Retry time.Duration
+}
+
+// Answer is what Offer decides: exactly one of its fields is set.
+type Answer struct {
+	Lease   *Lease
+	Ticket  *Ticket
+	Refusal *Refusal
+}
+
+// Ticket is a request that waits for room. Its end, a lease or a refusal, is
+// sent to Done exactly once.
+type Ticket struct {
+	// Done has room for the one answer.
+	Done chan Answer
+
+	entry queuer.Ticket
+	want  Want
+}
+
+// Until returns when the ticket is refused unless granted before; Expire is to
+// be called then.
+func (t *Ticket) Until() time.Time { return t.entry.Until }
+
+// Bounds of the time after which a refused request may come back.
+const (
+	soonestRetry = 10 * time.Millisecond
+	latestRetry  = 5 * time.Second
+	// targetless is when to come back to a service without usable targets.
+	targetless = 500 * time.Millisecond
+	// jitterPart is the part of the time that is added at random, so that refused
+	// requests do not come back at once.
+	jitterPart = 4
+)
+
+// grantDepth bounds how many tickets are tried for room when the first ones
+// exclude the targets that have some.
+const grantDepth = 4
+
+// Acquire returns a lease, or a refusal. It blocks while the request waits for
+// room, until ctx is done.
+func (d *Dispatcher) Acquire(ctx context.Context, want Want) (*Lease, *Refusal) {
+	started := time.Now()
+	if want.Now.IsZero() {
+		want.Now = started
+	}
+	answer := d.Offer(want, want.Now)
+	if answer.Ticket == nil {
+		return answer.Lease, answer.Refusal
+	}
+	ticket := answer.Ticket
+	timer := time.NewTimer(ticket.Until().Sub(want.Now))
+	defer timer.Stop()
+	present := func() time.Time { return want.Now.Add(time.Since(started)) }
+	select {
+	case answer = <-ticket.Done:
+	case <-timer.C:
+		d.Expire(present())
+		answer = d.settled(ticket, present())
+	case <-ctx.Done():
+		if d.Cancel(ticket, present()) {
+			return nil, &Refusal{Cause: queuer.Withdrawn}
+		}
+		answer = <-ticket.Done
+	}
+	return answer.Lease, answer.Refusal
+}
+
+// settled returns the end of a ticket whose time is over.
+func (d *Dispatcher) settled(ticket *Ticket, now time.Time) Answer {
+	if d.Cancel(ticket, now) {
+		return Answer{Refusal: &Refusal{Cause: ticket.entry.Cause, Retry: soonestRetry}}
+	}
+	return <-ticket.Done
+}
+
+// Offer grants a request room at a target, queues it, or refuses it.
+func (d *Dispatcher) Offer(want Want, now time.Time) Answer {
+	n := d.normal(want.Policy.Kind)
+	due := want.due(now)
+	if !now.Add(n.Mean()).Before(due) {
+		return Answer{Refusal: &Refusal{Cause: queuer.Late, Retry: d.comeBack(soonestRetry)}}
+	}
+	if d.waiting.Load() == 0 {
+		if lease := d.pick(&want, chooser.Query{}, now); lease != nil {
+			d.granted(&want)
+			return Answer{Lease: lease}
+		}
+	}
+	return d.enqueue(want, n, due, now)
+}
+
+// granted fills the budgets for a first try.
+func (d *Dispatcher) granted(want *Want) {
+	if want.Tries == 0 {
+		d.retry.First(want.Policy)
+	}
+}
+
+// pick takes room for a request, or returns nil.
+func (d *Dispatcher) pick(want *Want, q chooser.Query, now time.Time) *Lease {
+	set := d.view.Load().set
+	if set == nil {
+		return nil
+	}
+	n := d.normal(want.Policy.Kind)
+	q.Exclude, q.Normal, q.Random = want.Exclude, n.Mean(), d.Random()
+	c, mark, ok := set.Pick(q, now)
+	if !ok {
+		return nil
+	}
+	d.record.grant(set, c, want, now)
+	return &Lease{Target: c.Target.Address, Since: now, dispatcher: d, target: c.Target, mark: mark, normal: n}
+}
+
+// enqueue lets a request wait, in the order of priority and arrival.
+func (d *Dispatcher) enqueue(want Want, n *chooser.Normal, due, now time.Time) Answer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.usable() {
+		return d.refuse(&want, queuer.NoTarget, targetless, now)
+	}
+	expected := d.queue.Expected(d.queue.Ahead(want.Policy.Priority)+1, d.assumedRate(n))
+	until, cause := patience(want.Policy, due, n.Mean(), now)
+	if !now.Add(expected).Before(until) {
+		return d.refuse(&want, cause, expected, now)
+	}
+	t := &Ticket{Done: make(chan Answer, 1), want: want}
+	t.entry = queuer.Ticket{Priority: want.Policy.Priority, Arrived: now, Until: until, Cause: cause, Value: t}
+	displaced, ok := d.queue.Push(&t.entry)
+	if !ok {
+		return d.refuse(&want, queuer.Full, d.queue.Expected(d.queue.Len(), d.assumedRate(n)), now)
+	}
+	if displaced != nil {
+		d.end(displaced, queuer.Displaced, now)
+	}
+	d.waiting.Store(int32(d.queue.Len()))
+	d.drain(now)
+	select {
+	case answer := <-t.Done:
+		return answer
+	default:
+		return Answer{Ticket: t}
+	}
+}
+
+// patience returns until when a request may wait and why it is refused then.
+func patience(p *resolver.Policy, due time.Time, normal time.Duration, now time.Time) (time.Time, queuer.Cause) {
+	until := due.Add(-normal)
+	if p.Wait > 0 && now.Add(p.Wait).Before(until) {
+		return now.Add(p.Wait), queuer.Overdue
+	}
+	return until, queuer.Late
+}
+
+// usable tells whether some target may have requests at all.
+func (d *Dispatcher) usable() bool {
+	set := d.view.Load().set
+	return set != nil && set.Usable()
+}
+
+// assumedRate returns the grants per second that the targets should reach.
+func (d *Dispatcher) assumedRate(n *chooser.Normal) float64 {
+	if n.Mean() == 0 {
+		return 0
+	}
+	return float64(d.view.Load().set.Capacity()) / n.Mean().Seconds()
+}
+
+func (d *Dispatcher) refuse(want *Want, cause queuer.Cause, expected time.Duration, now time.Time) Answer {
+	r := &Refusal{Cause: cause, Retry: d.comeBack(expected)}
+	d.record.refuse(want, r, now)
+	return Answer{Refusal: r}
+}
+
+// comeBack bounds and spreads the time after which a refused request may return.
+func (d *Dispatcher) comeBack(expected time.Duration) time.Duration {
+	after := min(latestRetry, max(soonestRetry, expected))
+	return after + time.Duration(d.Random()%uint64(after/jitterPart))
+}
+
+// end refuses a ticket that has left the queue. It is called with mu held.
+func (d *Dispatcher) end(entry *queuer.Ticket, cause queuer.Cause, now time.Time) {
+	t := entry.Value.(*Ticket)
+	t.Done <- d.refuse(&t.want, cause, d.queue.Expected(d.queue.Len()+1, 0), now)
+}
+
+// drain grants waiting tickets while there is room. It is called with mu held.
+func (d *Dispatcher) drain(now time.Time) {
+	for d.queue.Len() > 0 {
+		if overdue := d.queue.Overdue(now); overdue != nil {
+			d.end(overdue, overdue.Cause, now)
+			continue
+		}
+		var lease *Lease
+		entry := d.queue.Grant(now, grantDepth, func(e *queuer.Ticket) bool {
+			lease = d.pick(&e.Value.(*Ticket).want, chooser.Query{}, now)
+			return lease != nil
+		})
+		if entry == nil {
+			break
+		}
+		t := entry.Value.(*Ticket)
+		d.granted(&t.want)
+		t.Done <- Answer{Lease: lease}
+	}
+	d.waiting.Store(int32(d.queue.Len()))
+}
+
+// Cancel withdraws a waiting ticket. It returns false when the ticket has ended
+// already; its end is then in Done.
+func (d *Dispatcher) Cancel(t *Ticket, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.queue.Remove(&t.entry) {
+		return false
+	}
+	d.drain(now)
+	return true
+}
+
+// Expire refuses the tickets whose time is over.
+func (d *Dispatcher) Expire(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.drain(now)
+}
+
+// Hedge grants a second try of a slow request into free room, within the budget.
+// want excludes the target of the first try.
+func (d *Dispatcher) Hedge(want Want, now time.Time) (*Lease, bool) {
+	if !d.retry.Hedge(want.Policy, d.waiting.Load() > 0) {
+		return nil, false
+	}
+	lease := d.pick(&want, chooser.Query{Free: true, Slowest: hedgeSlowest}, now)
+	if lease == nil {
+		d.retry.Unhedge()
+		return nil, false
+	}
+	return lease, true
+}
+
+// hedgeSlowest is the slowness up to which a target is worth a second try.
+const hedgeSlowest = 2
+
+// Retry decides whether a request may be tried again after a try that ended so,
+// and after which delay.
+func (d *Dispatcher) Retry(want Want, ending retrier.Ending, now time.Time) (bool, time.Duration) {
+	return d.retry.Retry(want.Policy, ending, want.Tries+1, want.due(now), now)
+}
