--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+GO ?= go
+
+.PHONY: build test lint fmt demo bench
+
+# Compiles both programs into bin/.
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+# Formatter check, linter, vet, race tests and the share of test code.
+test: lint
+	scripts/share.sh
+	scripts/test.sh
+
+lint:
+	scripts/lint.sh
+
+fmt:
+	$(GO) tool gofumpt -l -w .
+
+# A fleet of separate processes under mixed load with faults; counted from what
+# the targets ran.
+demo: build
+	scripts/demo.sh
+
+# Policies side by side under load; QUICK=1 for a short round.
+bench: build
+	scripts/bench.sh
