--- /dev/null
+++ b/internal/process/executor/token.go
@@ -0,0 +1,101 @@
+package executor
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// MaxPart is the length of the longest caller part of an operation id, in bytes.
+const MaxPart = 64
+
+const (
+	fieldSeparator = "~"
+	partSeparator  = "/"
+)
+
+// Token names one epoch of one incarnation of an instance.
+type Token struct {
+	// Peer is the address at which the other instances reach the executor.
+	Peer netip.AddrPort
+	// Incarnation differs between any two starts of a process.
+	Incarnation uint64
+	// Epoch counts from 1 within an incarnation.
+	Epoch uint64
+}
+
+// String returns the wire form of the token.
+func (t Token) String() string {
+	return fmt.Sprintf("%s%s%016x%s%d", t.Peer, fieldSeparator, t.Incarnation, fieldSeparator, t.Epoch)
+}
+
+// ParseToken reads the wire form and accepts nothing but the exact output of String.
+func ParseToken(text string) (Token, error) {
+	fields := strings.Split(text, fieldSeparator)
+	if len(fields) != 3 {
+		return Token{}, trace.BadParameter("executor token %q has %d fields, not 3", text, len(fields))
+	}
+	peer, err := netip.ParseAddrPort(fields[0])
+	if err != nil {
+		return Token{}, trace.BadParameter("executor token %q has no valid address: %v", text, err)
+	}
+	incarnation, err := strconv.ParseUint(fields[1], 16, 64)
+	if err != nil {
+		return Token{}, trace.BadParameter("executor token %q has no valid incarnation: %v", text, err)
+	}
+	epoch, err := strconv.ParseUint(fields[2], 10, 64)
+	if err != nil {
+		return Token{}, trace.BadParameter("executor token %q has no valid epoch: %v", text, err)
+	}
+	t := Token{Peer: peer, Incarnation: incarnation, Epoch: epoch}
+	if t.String() != text {
+		return Token{}, trace.BadParameter("executor token %q is not in its canonical form %q", text, t)
+	}
+	return t, nil
+}
+
+// Operation is the id of one non-idempotent operation.
+type Operation struct {
+	// Token names the only executor that may run the operation.
+	Token Token
+	// Part is the caller's unique part.
+	Part string
+}
+
+// String returns the wire form of the id.
+func (o Operation) String() string {
+	return o.Token.String() + partSeparator + o.Part
+}
+
+// ParseOperation reads the wire form and accepts nothing but the exact output of String.
+func ParseOperation(text string) (Operation, error) {
+	head, part, found := strings.Cut(text, partSeparator)
+	if !found {
+		return Operation{}, trace.BadParameter("operation id %q has no caller part", text)
+	}
+	if !validPart(part) {
+		return Operation{}, trace.BadParameter("caller part %q is not 1 to %d of [A-Za-z0-9_-]", part, MaxPart)
+	}
+	token, err := ParseToken(head)
+	if err != nil {
+		return Operation{}, trace.Wrap(err)
+	}
+	return Operation{Token: token, Part: part}, nil
+}
+
+func validPart(part string) bool {
+	if part == "" || len(part) > MaxPart {
+		return false
+	}
+	for _, c := range []byte(part) {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		digit := c >= '0' && c <= '9'
+		if !letter && !digit && c != '_' && c != '-' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/process/prober/prober.go
@@ -0,0 +1,94 @@
+package prober
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Idling is how long to wait before asking again when no candidate is due.
+const Idling = time.Second
+
+// Prober decides on the probes of one service at one instance.
+type Prober struct {
+	mu      sync.Mutex
+	budget  *Budget
+	weights Weights
+}
+
+// New starts the prober of a new process.
+func New(rate Rate, weights Weights, now time.Time) *Prober {
+	return &Prober{budget: NewBudget(rate, now), weights: weights}
+}
+
+// Configure puts other settings in force.
+func (p *Prober) Configure(rate Rate, weights Weights) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.Configure(rate)
+	p.weights = weights
+}
+
+// Next claims a probe of the neediest candidate: Sent and Done must follow. When
+// it is false, nothing can change before the returned wait.
+func (p *Prober) Next(now time.Time, candidates []Candidate) (target netip.AddrPort, ok bool, wait time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best, wait := p.neediest(now, candidates)
+	if best == nil {
+		return netip.AddrPort{}, false, wait
+	}
+	if left, allowed := p.budget.Wait(now); !allowed {
+		return netip.AddrPort{}, false, Idling
+	} else if left > 0 {
+		return netip.AddrPort{}, false, left
+	}
+	if !p.budget.Take(now) {
+		return netip.AddrPort{}, false, Idling
+	}
+	return best.Target, true, 0
+}
+
+// neediest returns the due candidate with the most valuable reason, the longest
+// due first, or nil and the time until the first one is due.
+func (p *Prober) neediest(now time.Time, candidates []Candidate) (*Candidate, time.Duration) {
+	var best *Candidate
+	var since time.Time
+	wait := Idling
+	for i := range candidates {
+		c := &candidates[i]
+		at, ok := p.weights.due(*c)
+		if !ok {
+			continue
+		}
+		if at.After(now) {
+			wait = min(wait, at.Sub(now))
+			continue
+		}
+		if best == nil || c.Reason < best.Reason || c.Reason == best.Reason && at.Before(since) {
+			best, since = c, at
+		}
+	}
+	return best, wait
+}
+
+// Sent is called right before the claimed probe leaves; false forbids it.
+func (p *Prober) Sent(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.Sent(now)
+}
+
+// Done ends the claimed probe, whatever became of it.
+func (p *Prober) Done(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.Done(now)
+}
+
+// Count returns the number of probes sent since the start of the process.
+func (p *Prober) Count() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.sent
+}
--- /dev/null
+++ b/internal/process/quarantiner/table.go
@@ -0,0 +1,158 @@
+package quarantiner
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// convicting is the number of lost runs that convicts a request.
+const convicting = 2
+
+// BusyRetry is when a suspect that found another one running may come back.
+const BusyRetry = 50 * time.Millisecond
+
+// entry is what is known against one request.
+type entry struct {
+	service     Service
+	fingerprint Fingerprint
+	// runs holds the lost runs that speak against the request and when each was lost.
+	runs map[Run]time.Time
+	// until is the end of the quarantine, zero when there was none.
+	until time.Time
+	// terms counts the quarantines.
+	terms int
+	// last is the time of the newest loss.
+	last time.Time
+}
+
+// Table holds the suspected and convicted requests of an instance.
+type Table struct {
+	limits Limits
+	// size is the number of entries, so that a request sees without a lock that
+	// there are none.
+	size atomic.Int64
+
+	mu      sync.Mutex
+	entries map[Fingerprint]*entry
+	// losses holds, for each lost run, who was lost with it.
+	losses map[Run]map[Fingerprint]time.Time
+	// apart holds the suspect that runs alone, by service.
+	apart map[Service]Fingerprint
+	// convictions and reprieves count changes of state.
+	convictions, reprieves int64
+}
+
+// New returns an empty table.
+func New(limits Limits) *Table {
+	return &Table{
+		limits:  limits,
+		entries: make(map[Fingerprint]*entry),
+		losses:  make(map[Run]map[Fingerprint]time.Time),
+		apart:   make(map[Service]Fingerprint),
+	}
+}
+
+// Suspect reports whether anything speaks against a request. Breakers and
+// ejection must not conclude from its failures that a target or a service is sick.
+func (t *Table) Suspect(f Fingerprint, now time.Time) bool {
+	if t.size.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.live(f, now) != nil
+}
+
+// Enter decides how a request may run, and when it may come back if it may not.
+func (t *Table) Enter(s Service, f Fingerprint, now time.Time) (Verdict, time.Duration) {
+	if t.size.Load() == 0 {
+		return Free, 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.live(f, now)
+	if e == nil {
+		return Free, 0
+	}
+	if now.Before(e.until) {
+		return Quarantined, e.until.Sub(now)
+	}
+	if _, taken := t.apart[s]; taken {
+		return Busy, BusyRetry
+	}
+	t.apart[s] = f
+	return Apart, 0
+}
+
+// Leave ends the turn of a suspect that Enter granted.
+func (t *Table) Leave(s Service, f Fingerprint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.apart[s] == f {
+		delete(t.apart, s)
+	}
+}
+
+// Lost records that the connection broke after the request was sent and before
+// its whole answer came. It returns the rumour for the peers.
+func (t *Table) Lost(s Service, f Fingerprint, r Run, now time.Time) Rumour {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.accuse(s, f, r, now, now)
+	return Rumour{Service: s, Fingerprint: f, Run: r}
+}
+
+// Hear records a loss told by a peer.
+func (t *Table) Hear(r Rumour, now time.Time) {
+	if r.Age < 0 || r.Age >= t.limits.Suspicion {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.accuse(r.Service, r.Fingerprint, r.Run, now.Add(-r.Age), now)
+}
+
+// Alive records an answer to a request that was sent at the given time. A run
+// that answers what was sent after its loss did not crash, so that loss is struck out.
+func (t *Table) Alive(r Run, sent, now time.Time) {
+	if t.size.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for f, at := range t.losses[r] {
+		if !sent.After(at) {
+			continue
+		}
+		t.unnote(f, r)
+		t.acquit(f, r, now)
+	}
+}
+
+// Answered records the whole answer to a request: it does not crash targets.
+func (t *Table) Answered(f Fingerprint, now time.Time) {
+	if t.size.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.live(f, now); e != nil && !now.Before(e.until) {
+		t.remove(e)
+	}
+}
+
+// Stats describes a table.
+type Stats struct {
+	// Entries is the number of suspected and convicted requests.
+	Entries int
+	// Convictions and Reprieves count requests put into quarantine and let out early.
+	Convictions, Reprieves int64
+}
+
+// Stats returns the present content of the table.
+func (t *Table) Stats() Stats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Stats{Entries: len(t.entries), Convictions: t.convictions, Reprieves: t.reprieves}
+}
--- /dev/null
+++ b/internal/process/tracker/judge.go
@@ -0,0 +1,133 @@
+package tracker
+
+import (
+	"time"
+
+	"oriolecourse.example/oriolecourse/internal/version/lister"
+)
+
+// name takes in the list's word about one target and reports whether its run
+// began to drain.
+func (t *Tracker) name(k Key, l lister.Target, now time.Time) bool {
+	e := t.entries[k]
+	if e == nil {
+		e = newEntry(k)
+		if t.read {
+			e.since = now
+		}
+		t.entries[k] = e
+	}
+	word := e.word
+	e.zone, e.word = l.Zone, l.Start
+	e.listed, e.mass, e.omitted = true, false, time.Time{}
+	state := e.state
+	if l.State == lister.Leaving {
+		state = Draining
+	}
+	switch {
+	case l.Start == "" || l.Start == e.start:
+		return e.set(state, now)
+	case e.hasLeft(l.Start):
+		t.ignored.Add(1)
+		return false
+	case e.start == "":
+		e.start = l.Start
+		return e.set(state, now)
+	case !e.met || word == e.start || now.Sub(latest(e.since, e.signed)) >= Settle:
+		return t.replace(e, l, now)
+	}
+	// The run was met and the list never named it: the list's word may be about
+	// an earlier run.
+	t.ignored.Add(1)
+	return false
+}
+
+// replace begins the run that the list names.
+func (t *Tracker) replace(e *entry, l lister.Target, now time.Time) bool {
+	state := Ready
+	if l.State == lister.Leaving {
+		state = Draining
+	}
+	e.begin(l.Start, state, false, now)
+	return state == Draining
+}
+
+// omit takes in that the list no longer has some targets.
+func (t *Tracker) omit(named map[Key]bool, now time.Time) {
+	listed, gone := make(map[Service]int), make(map[Service]int)
+	for k, e := range t.entries {
+		if !e.listed {
+			continue
+		}
+		s := Service{Place: k.Place, Service: k.Service}
+		listed[s]++
+		if !named[k] {
+			gone[s]++
+		}
+	}
+	for k, e := range t.entries {
+		s := Service{Place: k.Place, Service: k.Service}
+		if e.listed && !named[k] {
+			e.listed, e.omitted = false, now
+			e.mass = 2*gone[s] > listed[s]
+		}
+		if !e.listed && now.Sub(latest(e.omitted, e.since, e.signed)) >= Forget {
+			delete(t.entries, k)
+		}
+	}
+}
+
+// ended reports whether evidence is about a run that ended before the present
+// one: either it is known to, or its request was sent before the present run was seen.
+func (e *entry) ended(v Evidence) bool {
+	if v.Start == "" || v.Start == e.start {
+		return false
+	}
+	return e.hasLeft(v.Start) || e.start != "" && v.Sent.Before(e.since)
+}
+
+// answer takes in what the target said about a run that has not ended, and
+// reports whether that began to drain.
+func (e *entry) answer(v Evidence, now time.Time) bool {
+	e.heard.Store(now.UnixNano())
+	if v.Start != "" && e.start != "" && v.Start != e.start {
+		e.begin(v.Start, v.State, true, now)
+		return v.State == Draining
+	}
+	if v.Start != "" {
+		e.start, e.met = v.Start, true
+	}
+	if v.Sent.After(e.suspected) {
+		e.suspected = time.Time{}
+	}
+	return e.set(v.State, now)
+}
+
+// told takes in a peer's rumour and reports whether it was new.
+func (e *entry) told(r Rumour, now time.Time) bool {
+	if e.hasLeft(r.Start) {
+		return false
+	}
+	sign := now.Add(-r.Age)
+	if r.Start == e.start || e.start == "" {
+		e.start, e.met = r.Start, true
+		return e.set(Draining, sign)
+	}
+	// Nobody here has met that run: it may have come before or after the present
+	// one. It can never become usable, and the target itself has to tell.
+	e.leave(r.Start)
+	if e.heard.Load() < sign.UnixNano() {
+		e.suspected = sign
+	}
+	return true
+}
+
+func latest(times ...time.Time) time.Time {
+	var last time.Time
+	for _, at := range times {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
--- /dev/null
+++ b/internal/process/tracker/target.go
@@ -0,0 +1,176 @@
+package tracker
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+)
+
+// State is the state of one run of a target's process.
+type State int
+
+// The states of a run.
+const (
+	Ready State = iota
+	// Warming runs take work and are not yet at full speed.
+	Warming
+	// Draining runs get no new work. No run leaves this state.
+	Draining
+)
+
+var stateNames = map[State]string{Ready: "ready", Warming: "warming", Draining: "draining"}
+
+// String returns the name of the state.
+func (s State) String() string { return stateNames[s] }
+
+// ParseState reads the value of the Target-State header. A target that sheds
+// load is ready; an unknown or missing value says nothing and counts as ready.
+func ParseState(text string) State {
+	switch text {
+	case "warming":
+		return Warming
+	case "draining":
+		return Draining
+	}
+	return Ready
+}
+
+// Service names a service at a place.
+type Service struct{ Place, Service string }
+
+// Key names a target of a service.
+type Key struct {
+	Place, Service string
+	Address        netip.AddrPort
+}
+
+// Target is a target as a request sees it.
+type Target struct {
+	Address netip.AddrPort
+	Zone    string
+	// Start names the run; it is empty until someone has told it.
+	Start string
+	State State
+	// Since is when the run was first seen, zero when it was in the first list
+	// that this instance read and may have been running for long.
+	Since time.Time
+	// Suspected means that a peer told of a leaving run that is unknown here. The
+	// target gets no new work until it has answered a probe or a request.
+	Suspected bool
+	// Heard is when the target itself last told anything, zero if never.
+	Heard time.Time
+}
+
+// Evidence is what a target itself said, in an answer or at its health endpoint.
+type Evidence struct {
+	Key Key
+	// Start and State are the values that the target gave; Start may be empty.
+	Start string
+	State State
+	// Sent is when the request was sent. A run that was not known before is
+	// believed only if the request was sent after the present run was first seen.
+	Sent time.Time
+}
+
+// Rumour tells peers that a run is leaving.
+type Rumour struct {
+	Key   Key
+	Start string
+	// Age is the time since the first sign at the instance that tells.
+	Age time.Duration
+}
+
+// The times of the tracker.
+const (
+	// Grace is how long a target that the list omits stays usable, so that one
+	// faulty revision does not move the load.
+	Grace = 2 * time.Second
+	// Doubt is how long after its last answer a target stays usable when the list
+	// omits most of the targets of its service at once.
+	Doubt = time.Minute
+	// Settle is how long after the last sign the list may lag. After it the list
+	// is believed about a run that nobody has met, and a suspicion ends.
+	Settle = time.Minute
+	// Forget is how long an unlisted target is remembered.
+	Forget = time.Hour
+)
+
+const (
+	// maxLeft is the number of ended runs remembered for one address.
+	maxLeft = 32
+	// maxUnlisted bounds the targets that are known by rumour only.
+	maxUnlisted = 1024
+)
+
+// entry is what is known about one target. It is guarded by the tracker's mutex
+// except for heard.
+type entry struct {
+	key   Key
+	zone  string
+	start string
+	state State
+	// since is when the present run was first seen; zero when at the first list.
+	since time.Time
+	// signed is when the run was first said to be leaving.
+	signed time.Time
+	// met means that the run itself or a peer has told of it, not only the list.
+	met bool
+	// word is the start that the list named last.
+	word string
+	// listed is false once the list omits the target, from omitted on.
+	listed  bool
+	omitted time.Time
+	// mass means that most of the service's targets were omitted at once.
+	mass bool
+	// suspected is when a peer told of a leaving run that is unknown here.
+	suspected time.Time
+	// left holds runs that have ended or are leaving, the oldest first. The
+	// present run is never in it.
+	left []string
+	// heard is the Unix time in nanoseconds of the last answer. Snapshots share it.
+	heard *atomic.Int64
+}
+
+func newEntry(k Key) *entry {
+	return &entry{key: k, heard: new(atomic.Int64)}
+}
+
+func (e *entry) hasLeft(start string) bool {
+	for _, s := range e.left {
+		if s == start {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *entry) leave(start string) {
+	if start == "" || e.hasLeft(start) {
+		return
+	}
+	e.left = append(e.left, start)
+	if len(e.left) > maxLeft {
+		e.left = e.left[1:]
+	}
+}
+
+// begin puts a new run in the place of the present one.
+func (e *entry) begin(start string, state State, met bool, now time.Time) {
+	e.leave(e.start)
+	e.start, e.state, e.met, e.since = start, Ready, met, now
+	e.signed, e.suspected = time.Time{}, time.Time{}
+	e.set(state, now)
+}
+
+// set changes the state of the present run and reports whether it began to drain.
+func (e *entry) set(state State, now time.Time) bool {
+	if e.state == Draining {
+		return false
+	}
+	e.state = state
+	if state != Draining {
+		return false
+	}
+	e.signed = now
+	return true
+}
--- /dev/null
+++ b/internal/process/tracker/tracker.go
@@ -0,0 +1,128 @@
+package tracker
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"oriolecourse.example/oriolecourse/internal/version/lister"
+)
+
+// Tracker holds the state of all targets.
+type Tracker struct {
+	// current is read on the path of a request.
+	current atomic.Pointer[snapshot]
+
+	mu      sync.Mutex
+	entries map[Key]*entry
+	// revision is that of the last list; an older one is ignored.
+	revision uint64
+	// read means that a list was read.
+	read bool
+	// ignored counts what was said about ended runs.
+	ignored atomic.Int64
+}
+
+// New returns a tracker that knows no targets.
+func New() *Tracker {
+	t := &Tracker{entries: make(map[Key]*entry)}
+	t.current.Store(newSnapshot(nil))
+	return t
+}
+
+// List takes in a revision of the platform's list.
+func (t *Tracker) List(l *lister.List, now time.Time) []Rumour {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.read && l.Revision <= t.revision {
+		return nil
+	}
+	var told []Rumour
+	named := make(map[Key]bool, len(l.Targets))
+	for _, target := range l.Targets {
+		k := Key{Place: target.Place, Service: target.Service, Address: target.Address}
+		named[k] = true
+		if t.name(k, target, now) {
+			told = append(told, t.rumour(t.entries[k], now))
+		}
+	}
+	t.omit(named, now)
+	t.read, t.revision = true, l.Revision
+	t.publish()
+	return told
+}
+
+// Observe takes in what a target itself said.
+func (t *Tracker) Observe(v Evidence, now time.Time) []Rumour {
+	if known := t.current.Load().views[v.Key]; known != nil && known.repeats(v) {
+		known.heard.Store(now.UnixNano())
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[v.Key]
+	if e == nil || e.ended(v) {
+		t.ignored.Add(1)
+		return nil
+	}
+	began := e.answer(v, now)
+	t.publish()
+	if !began {
+		return nil
+	}
+	return []Rumour{t.rumour(e, now)}
+}
+
+// Hear takes in what a peer told. It reports whether that was new, so that it
+// can be passed on.
+func (t *Tracker) Hear(r Rumour, now time.Time) bool {
+	if r.Age < 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[r.Key]
+	if e == nil {
+		if len(t.entries) >= maxUnlisted+t.listed() {
+			return false
+		}
+		e = newEntry(r.Key)
+		e.since = now
+		t.entries[r.Key] = e
+	}
+	if !e.told(r, now) {
+		return false
+	}
+	t.publish()
+	return true
+}
+
+// Leaving returns all leaving runs, for a peer that has just started.
+func (t *Tracker) Leaving(now time.Time) []Rumour {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []Rumour
+	for _, e := range t.entries {
+		if e.state == Draining {
+			all = append(all, t.rumour(e, now))
+		}
+	}
+	return all
+}
+
+// Ignored returns how often something was said about an ended run.
+func (t *Tracker) Ignored() int64 { return t.ignored.Load() }
+
+func (t *Tracker) rumour(e *entry, now time.Time) Rumour {
+	return Rumour{Key: e.key, Start: e.start, Age: max(0, now.Sub(e.signed))}
+}
+
+func (t *Tracker) listed() int {
+	n := 0
+	for _, e := range t.entries {
+		if e.listed {
+			n++
+		}
+	}
+	return n
+}
