--- /dev/null
+++ b/internal/connection/framer/message.go
@@ -0,0 +1,37 @@
+package framer
+
+import (
+	"github.com/gravitational/trace"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Kind tells the type of a message's body.
+type Kind uint8
+
+// Message is the payload of one frame.
+type Message struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Kind Kind
+	// ID matches an answer to its request; 0 asks for no answer.
+	ID uint64
+	// Body is the msgpack form of the type that belongs to Kind.
+	Body msgpack.RawMessage
+}
+
+// Encode returns a message with the msgpack form of a value as its body.
+func Encode(kind Kind, id uint64, value any) (Message, error) {
+	body, err := msgpack.Marshal(value)
+	if err != nil {
+		return Message{}, trace.Wrap(err)
+	}
+	return Message{Kind: kind, ID: id, Body: body}, nil
+}
+
+// Decode reads the body into a value.
+func (m Message) Decode(value any) error {
+	if err := msgpack.Unmarshal(m.Body, value); err != nil {
+		return &Refusal{Cause: Undecodable}
+	}
+	return nil
+}
