--- /dev/null
+++ b/internal/process/adopter/adopter.go
@@ -0,0 +1,179 @@
+package adopter
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+)
+
+// MaxRejections is the number of rejected documents remembered.
+const MaxRejections = 16
+
+// held is a document in force. It is never modified.
+type held[T any] struct {
+	stamp    Stamp
+	since    time.Time
+	text     []byte
+	document *T
+}
+
+// Adopter keeps the highest valid document of one kind. Its methods may be
+// called from any goroutine; readers never wait for an offer.
+type Adopter[T any] struct {
+	// Check decodes a document and gives its version. It must be deterministic,
+	// keep no reference to text, and reject a document of version 0.
+	Check func(text []byte) (document *T, version uint64, err error)
+	// Change, if set, is called for each document that comes into force, in
+	// their order and one at a time. It may call Current, Stamp and Text only.
+	Change func(document *T, stamp Stamp, now time.Time)
+	// Reject, if set, is called for the first offer of each rejected document,
+	// under the same terms.
+	Reject func(rejection Rejection)
+
+	current atomic.Pointer[held[T]]
+
+	// mutex guards the fields below and orders the changes of current.
+	mutex sync.Mutex
+	// rejections holds the latest rejected documents, at most MaxRejections,
+	// the oldest first.
+	rejections []Rejection
+	// last is the latest rejected document, or loser of a tie, that is not older
+	// than the version in force; nil when there is none.
+	last   *Rejection
+	offers [verdicts]uint64
+}
+
+// Current returns the document in force, or nil. The caller keeps the pointer
+// for as long as it wants to see one version.
+func (a *Adopter[T]) Current() *T {
+	if h := a.current.Load(); h != nil {
+		return h.document
+	}
+	return nil
+}
+
+// Stamp returns the stamp of the document in force, or the zero stamp.
+func (a *Adopter[T]) Stamp() Stamp {
+	if h := a.current.Load(); h != nil {
+		return h.stamp
+	}
+	return Stamp{}
+}
+
+// Text returns the text of the document in force with its stamp, for passing
+// it on to peers. The text must not be modified.
+func (a *Adopter[T]) Text() ([]byte, Stamp) {
+	if h := a.current.Load(); h != nil {
+		return h.text, h.stamp
+	}
+	return nil, Stamp{}
+}
+
+// Wants reports whether a document that a peer announced is worth fetching.
+func (a *Adopter[T]) Wants(announced Stamp) bool {
+	if announced.Compare(a.Stamp()) <= 0 {
+		return false
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.rejection(announced.Digest) == nil
+}
+
+// Offer judges a document. Version and digest are what its sender announced,
+// or zero when it announced nothing.
+func (a *Adopter[T]) Offer(text []byte, version, digest uint64, now time.Time) Verdict {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	v := a.judge(text, Stamp{Version: version, Digest: digest}, now)
+	a.offers[v]++
+	return v
+}
+
+func (a *Adopter[T]) judge(text []byte, announced Stamp, now time.Time) Verdict {
+	digest := xxhash.Sum64(text)
+	if announced.Digest != 0 && announced.Digest != digest {
+		return Mismatch
+	}
+	inForce := a.Stamp()
+	if inForce.Version != 0 && inForce.Digest == digest {
+		return Known
+	}
+	if announced.Digest != 0 && announced.Version < inForce.Version {
+		return Stale
+	}
+	if r := a.rejection(digest); r != nil {
+		return Rejected
+	}
+	document, version, err := a.Check(text)
+	stamp := Stamp{Version: version, Digest: digest}
+	if err != nil {
+		a.reject(Rejection{Stamp: stamp, Reason: err, At: now})
+		return Rejected
+	}
+	if announced.Version != 0 && announced.Version != version {
+		return Mismatch
+	}
+	if stamp.Compare(inForce) <= 0 {
+		a.noteTie(stamp, inForce, now)
+		return Stale
+	}
+	a.adopt(&held[T]{stamp: stamp, since: now, text: append([]byte(nil), text...), document: document})
+	return Accepted
+}
+
+func (a *Adopter[T]) adopt(h *held[T]) {
+	before := a.Stamp()
+	a.current.Store(h)
+	if a.last != nil && a.last.Stamp.Version <= h.stamp.Version {
+		a.last = nil
+	}
+	a.noteTie(before, h.stamp, h.since)
+	if a.Change != nil {
+		a.Change(h.document, h.stamp, h.since)
+	}
+}
+
+func (a *Adopter[T]) reject(r Rejection) {
+	if len(a.rejections) == MaxRejections {
+		a.rejections = append(a.rejections[:0], a.rejections[1:]...)
+	}
+	a.rejections = append(a.rejections, r)
+	if inForce := a.Stamp(); r.Stamp.Version == 0 || r.Stamp.Version >= inForce.Version {
+		a.last = &r
+	}
+	if a.Reject != nil {
+		a.Reject(r)
+	}
+}
+
+// noteTie shows the loser of two documents that were published under one
+// version, so that its operator learns why it is not in force.
+func (a *Adopter[T]) noteTie(loser, winner Stamp, now time.Time) {
+	if loser.Version == winner.Version {
+		reason := trace.AlreadyExists("%s was published under the same version and takes precedence; publish again under a higher one", winner)
+		a.last = &Rejection{Stamp: loser, Reason: reason, At: now}
+	}
+}
+
+func (a *Adopter[T]) rejection(digest uint64) *Rejection {
+	for i := range a.rejections {
+		if a.rejections[i].Stamp.Digest == digest {
+			return &a.rejections[i]
+		}
+	}
+	return nil
+}
+
+// Status returns what is in force and what was rejected last.
+func (a *Adopter[T]) Status() Status {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	s := Status{Last: a.last, Offers: a.offers}
+	if h := a.current.Load(); h != nil {
+		s.Stamp, s.Since = h.stamp, h.since
+	}
+	return s
+}
--- a/internal/version/parser/parse.go
+++ b/internal/version/parser/parse.go
@@ -103,3 +103,10 @@
 		v.record.field.set(p, v.value)
 	}
 }
+
+// Version reads the version of a document that may have faults elsewhere; it
+// is 0 when it cannot be read.
+func Version(text []byte) uint64 {
+	version, _ := (&reader{}).document(text)
+	return version
+}
