Add the caller load and the audit of its outcomes

Requests go out as POST because net/http sends a GET again by itself when a kept connection breaks, which would run an attempt twice behind the result's back.

--- /dev/null
+++ b/internal/standin/auditor/table.go
@@ -0,0 +1,138 @@
+package auditor
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"oriolecourse.example/oriolecourse/internal/standin/loader"
+	"oriolecourse.example/oriolecourse/internal/standin/recorder"
+)
+
+const (
+	// highestLatency is the highest value of a histogram in microseconds.
+	highestLatency = int64(time.Minute / time.Microsecond)
+	// significantFigures is the precision of a histogram.
+	significantFigures = 3
+)
+
+// Row is the summary of one kind.
+type Row struct {
+	Service, Kind string
+	// Count is the number of requests.
+	Count int
+	// Refused counts requests that ended without running, Unknown those of
+	// which nobody knows, Failed those that a target answered with an error.
+	Refused, Unknown, Failed int
+	// Retried counts requests with more than one attempt.
+	Retried int
+	// Attempts and Runs count over all requests; Runs beyond Attempts are
+	// second tries.
+	Attempts, Runs int
+	// Probes counts the probes of the whole service; the first row of a
+	// service holds them.
+	Probes int
+	// Latencies holds the microseconds of successful requests.
+	Latencies *hdrhistogram.Histogram
+}
+
+// Percentile returns a latency.
+func (r *Row) Percentile(q float64) time.Duration {
+	return time.Duration(r.Latencies.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// add counts one request.
+func (r *Row) add(request loader.Request) {
+	r.Count++
+	sent := 0
+	for _, a := range request.Attempts {
+		if a.Outcome != loader.Unsent {
+			sent++
+		}
+	}
+	r.Attempts += sent
+	if sent > 1 {
+		r.Retried++
+	}
+	switch {
+	case request.Outcome == loader.Done && request.Status == http.StatusOK:
+		latency := min(request.Latency.Microseconds(), highestLatency)
+		_ = r.Latencies.RecordValue(latency)
+	case request.Outcome == loader.Done:
+		r.Failed++
+	case request.Outcome == loader.Unknown:
+		r.Unknown++
+	default:
+		r.Refused++
+	}
+}
+
+// tabulate returns the rows in the order of service and kind.
+func tabulate(results []*loader.Result, events []recorder.Event) []Row {
+	type key struct{ service, kind string }
+	rows := map[key]*Row{}
+	row := func(service, kind string) *Row {
+		k := key{service, kind}
+		if rows[k] == nil {
+			h := hdrhistogram.New(1, highestLatency, significantFigures)
+			rows[k] = &Row{Service: service, Kind: kind, Latencies: h}
+		}
+		return rows[k]
+	}
+	for _, result := range results {
+		for _, r := range result.Requests {
+			row(r.Service, r.Kind).add(r)
+		}
+	}
+	probes := map[string]int{}
+	for _, e := range events {
+		switch e.Type {
+		case recorder.Begin:
+			row(e.Service, e.Kind).Runs++
+		case recorder.Probe:
+			probes[e.Service]++
+		}
+	}
+	var sorted []Row
+	for _, r := range rows {
+		sorted = append(sorted, *r)
+	}
+	slices.SortFunc(sorted, func(a, b Row) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Kind, b.Kind))
+	})
+	for i := range sorted {
+		sorted[i].Probes = probes[sorted[i].Service]
+		delete(probes, sorted[i].Service)
+	}
+	return sorted
+}
+
+// Print writes the table by kind.
+func (v *Verdict) Print(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "kind\tcount\tp50\tp99\tp99.9\trefused\tunknown\tfailed\tretried\truns\tprobes\t")
+	for i := range v.Rows {
+		r := &v.Rows[i]
+		fmt.Fprintf(t, "%s/%s\t%d\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t\n", r.Service, r.Kind, r.Count,
+			milliseconds(r.Percentile(50)), milliseconds(r.Percentile(99)), milliseconds(r.Percentile(99.9)),
+			r.Refused, r.Unknown, r.Failed, r.Retried, r.Runs, r.Probes)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, f := range v.Findings {
+		fmt.Fprintln(w, "violation:", f)
+	}
+	return nil
+}
+
+// milliseconds prints a latency.
+func milliseconds(d time.Duration) string {
+	return fmt.Sprintf("%.1fms", float64(d)/float64(time.Millisecond))
+}
--- a/internal/standin/commander/command.go
+++ b/internal/standin/commander/command.go
@@ -31,7 +31,8 @@
 		SilenceErrors:     true,
 		PersistentPreRunE: func(c *cobra.Command, _ []string) error { return fromEnvironment(c.Flags()) },
 	}
-	root.AddCommand(platformCommand(), targetCommand(), recorderCommand(), sendCommand())
+	root.AddCommand(platformCommand(), targetCommand(), recorderCommand(),
+		loadCommand(), judgeCommand(), sendCommand())
 	return root
 }
 
--- /dev/null
+++ b/internal/standin/commander/load.go
@@ -0,0 +1,137 @@
+package commander
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+
+	"oriolecourse.example/oriolecourse/internal/standin/auditor"
+	"oriolecourse.example/oriolecourse/internal/standin/loader"
+	"oriolecourse.example/oriolecourse/internal/standin/recorder"
+)
+
+// loadFlags hold the flags of a load.
+type loadFlags struct {
+	settings  loader.Settings
+	instances []string
+	mixes     []string
+	out       string
+}
+
+// loadCommand sends a load.
+func loadCommand() *cobra.Command {
+	var l loadFlags
+	c := &cobra.Command{
+		Use:   "load",
+		Short: "Send requests as callers would and write the result",
+		Args:  cobra.NoArgs,
+		RunE:  func(c *cobra.Command, _ []string) error { return l.run(c) },
+	}
+	l.bind(c)
+	return c
+}
+
+// bind adds the flags of a load.
+func (l *loadFlags) bind(c *cobra.Command) {
+	f, s := c.Flags(), &l.settings
+	f.StringSliceVar(&l.instances, "instances", nil, "ip:port of the instances to ask")
+	f.StringArrayVar(&l.mixes, "mix", nil, `load of one kind: "service/kind rate=N [size=N] [once]"; may be repeated`)
+	f.DurationVar(&s.Duration, "duration", 10*time.Second, "time in which requests start")
+	f.Int64Var(&s.Seed, "seed", 1, "seed of the load")
+	f.StringVar(&s.Name, "name", "r", "beginning of every request's id")
+	f.IntVar(&s.Callers, "callers", 8, "independent callers")
+	f.DurationVar(&s.Delay, "delay", 0, "emulated one-way network delay")
+	f.DurationVar(&s.Patience, "patience", 10*time.Second, "bound of a request with all its attempts")
+	f.IntVar(&s.Attempts, "attempts", 8, "bound of the attempts of a request")
+	f.BoolVar(&s.Spread, "spread", false, "send each request to any instance")
+	f.DurationVar(&s.Burst.Every, "burst-every", 0, "time between bursts; 0 for none")
+	f.DurationVar(&s.Burst.Length, "burst-length", 200*time.Millisecond, "length of a burst")
+	f.Float64Var(&s.Burst.Factor, "burst-factor", 3, "factor of the rate in a burst")
+	f.StringVar(&l.out, "out", "", "file that receives the result as JSON")
+}
+
+// run sends the load.
+func (l *loadFlags) run(c *cobra.Command) error {
+	for _, text := range l.instances {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return trace.Wrap(err, "--instances")
+		}
+		l.settings.Instances = append(l.settings.Instances, address)
+	}
+	for _, text := range l.mixes {
+		m, err := loader.ParseMix(text)
+		if err != nil {
+			return err
+		}
+		l.settings.Mixes = append(l.settings.Mixes, m)
+	}
+	result := loader.Run(c.Context(), l.settings)
+	text, err := json.Marshal(result)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if l.out == "" {
+		_, err := c.OutOrStdout().Write(append(text, '\n'))
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(os.WriteFile(l.out, text, 0o600))
+}
+
+// judgeCommand compares results with the record.
+func judgeCommand() *cobra.Command {
+	var record string
+	c := &cobra.Command{
+		Use:   "judge RESULT...",
+		Short: "Compare what callers were told with what the targets ran",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			v, err := judge(record, args)
+			if err != nil {
+				return err
+			}
+			if err := v.Print(c.OutOrStdout()); err != nil {
+				return trace.Wrap(err)
+			}
+			fmt.Fprintln(c.OutOrStdout(), v.Line())
+			if !v.OK() {
+				return trace.CompareFailed("the audit failed")
+			}
+			return nil
+		},
+	}
+	c.Flags().StringVar(&record, "record", "", "URL of the recorder")
+	return c
+}
+
+// judge reads results and record and audits them.
+func judge(record string, paths []string) (*auditor.Verdict, error) {
+	var results []*loader.Result
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		result := &loader.Result{}
+		if err := json.Unmarshal(text, result); err != nil {
+			return nil, trace.Wrap(err, "%s", path)
+		}
+		results = append(results, result)
+	}
+	text, err := call(http.MethodGet, record+"/record", http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	events, err := recorder.Read(bytes.NewReader(text))
+	if err != nil {
+		return nil, err
+	}
+	return auditor.Audit(results, events), nil
+}
--- /dev/null
+++ b/internal/standin/loader/attempt.go
@@ -0,0 +1,89 @@
+package loader
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"oriolecourse.example/oriolecourse/internal/standin/patterner"
+)
+
+// send makes one attempt. It tells an instance that was not reached from one
+// whose answer is missing, since only the latter may have run the request.
+func (c *caller) send(ctx context.Context, m Mix, a Attempt, address netip.AddrPort) Attempt {
+	a.Instance, a.Begin = address.String(), time.Now()
+	time.Sleep(c.settings.Delay)
+	request, err := c.request(ctx, m, a, address)
+	if err != nil {
+		a.Outcome, a.Problem = Unsent, err.Error()
+		return a
+	}
+	reply, err := c.client.Do(request)
+	if err != nil {
+		a.Outcome, a.Problem, a.End = Unknown, err.Error(), time.Now()
+		if dial := (*net.OpError)(nil); errors.As(err, &dial) && dial.Op == "dial" {
+			a.Outcome = Unsent
+		}
+		return a
+	}
+	defer func() { _ = reply.Body.Close() }()
+	body, err := io.ReadAll(reply.Body)
+	time.Sleep(c.settings.Delay)
+	a.End, a.Status = time.Now(), reply.StatusCode
+	if err != nil {
+		a.Outcome, a.Problem = Unknown, err.Error()
+		return a
+	}
+	return classify(m, a, reply, body)
+}
+
+// request builds the HTTP request of an attempt. The method is POST, since
+// net/http sends a GET again by itself when a connection breaks, and a hidden
+// second sending would not be an attempt of its own in the result.
+func (*caller) request(ctx context.Context, m Mix, a Attempt, address netip.AddrPort) (*http.Request, error) {
+	url := "http://" + address.String() + "/s/" + m.Service + "/" + m.Kind + "/item"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Request-Id", a.ID)
+	request.Header.Set("Answer-Size", strconv.Itoa(m.Size))
+	if a.Operation != "" {
+		request.Header.Set("Oriole-Operation", a.Operation)
+	}
+	return request, nil
+}
+
+// classify reads the outcome from a whole answer and checks its body.
+func classify(m Mix, a Attempt, reply *http.Response, body []byte) Attempt {
+	header := reply.Header
+	a.Outcome = Outcome(header.Get("Oriole-Outcome"))
+	a.Final = header.Get("Oriole-Final") == "true"
+	a.Retry, _ = time.ParseDuration(header.Get("Oriole-Retry"))
+	a.executor = header.Get("Oriole-Executor")
+	if a.Outcome != Done && a.Outcome != Unrun && a.Outcome != Unknown {
+		a.Problem = "the answer names no outcome: " + string(a.Outcome)
+		a.Outcome = Unknown
+	}
+	if a.Outcome != Done || a.Status != http.StatusOK {
+		return a
+	}
+	id, err := patterner.Check(body)
+	if err != nil {
+		a.Cut, a.Problem = true, err.Error()
+	}
+	a.Crossed = id != a.ID && !(m.Once && base(id) == base(a.ID))
+	return a
+}
+
+// base returns the request's id of an attempt's id.
+func base(id string) string {
+	name, _, _ := strings.Cut(id, ".")
+	return name
+}
--- /dev/null
+++ b/internal/standin/loader/loader.go
@@ -0,0 +1,181 @@
+package loader
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// backoff is the pause before a new attempt when the system named none.
+const backoff = 20 * time.Millisecond
+
+// Run sends the whole load and returns when every request has ended.
+func Run(ctx context.Context, s Settings) *Result {
+	asked := &atomic.Int64{}
+	callers := make([]*caller, s.Callers)
+	for i := range callers {
+		callers[i] = newCaller(s, s.Seed*1000+int64(i), asked)
+	}
+	done := &collector{}
+	var running sync.WaitGroup
+	begin := time.Now()
+	for i, m := range s.Mixes {
+		running.Go(func() {
+			random := rand.New(rand.NewSource(s.Seed + int64(i)))
+			generate(ctx, s, m, random, begin, func(n int, due time.Time) {
+				c := callers[random.Intn(len(callers))]
+				running.Go(func() {
+					id := fmt.Sprintf("%s%d-%d-%d", s.Name, s.Seed, i, n)
+					done.add(c.serve(ctx, m, id, due))
+				})
+			})
+		})
+	}
+	running.Wait()
+	return &Result{Seed: s.Seed, Duration: s.Duration, Asked: asked.Load(), Requests: done.requests}
+}
+
+// generate calls start at the seeded times of one mix.
+func generate(ctx context.Context, s Settings, m Mix, random *rand.Rand, begin time.Time, start func(int, time.Time)) {
+	due := begin
+	for n := 0; ; n++ {
+		rate := m.Rate
+		if s.Burst.active(due.Sub(begin)) {
+			rate *= s.Burst.Factor
+		}
+		due = due.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		if due.Sub(begin) > s.Duration {
+			return
+		}
+		if !pause(ctx, time.Until(due)) {
+			return
+		}
+		start(n, due)
+	}
+}
+
+// pause sleeps unless the context ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// serve brings one request to its end.
+func (c *caller) serve(ctx context.Context, m Mix, id string, due time.Time) Request {
+	ctx, cancel := context.WithDeadline(ctx, due.Add(c.settings.Patience))
+	defer cancel()
+	r := Request{ID: id, Service: m.Service, Kind: m.Kind, Once: m.Once, Begin: due, Outcome: Unsent}
+	t := &trial{caller: c, mix: m, key: key{m.Service, m.Kind}}
+	for sent := 0; sent < c.settings.Attempts && ctx.Err() == nil; {
+		a, wait, ended := t.next(ctx, Attempt{ID: fmt.Sprintf("%s.%d", id, len(r.Attempts)+1)})
+		r.Attempts = append(r.Attempts, a)
+		if a.Outcome != Unsent {
+			sent++
+			r.Outcome, r.Status = fold(r, a), a.Status
+		}
+		if ended || !pause(ctx, wait) {
+			break
+		}
+	}
+	r.Latency = time.Since(due)
+	return r
+}
+
+// fold returns the outcome of a request after one more attempt. A request that
+// may have run stays unknown until it is done.
+func fold(r Request, a Attempt) Outcome {
+	if a.Outcome == Unrun && r.Outcome == Unknown && r.Once {
+		return Unknown
+	}
+	return a.Outcome
+}
+
+// trial is the state of one request between its attempts.
+type trial struct {
+	caller *caller
+	mix    Mix
+	key    key
+	// kept is the answer in use and index the next of its addresses.
+	kept  *answer
+	index int
+	// operation is the operation id in use; it changes only after a refusal
+	// that says that nothing ran.
+	operation string
+}
+
+// next makes one attempt and returns the pause before the next one, and whether
+// the request has ended.
+func (t *trial) next(ctx context.Context, a Attempt) (Attempt, time.Duration, bool) {
+	address, err := t.address(ctx)
+	if err != nil {
+		a.Outcome, a.Problem = Unsent, err.Error()
+		return a, backoff, false
+	}
+	if t.mix.Once && t.operation == "" {
+		t.operation = t.identify(a, address)
+	}
+	a.Operation = t.operation
+	a = t.caller.send(ctx, t.mix, a, address)
+	return a, t.after(a, address), a.Outcome == Done || a.Final
+}
+
+// address returns the address to use, asking anew when all have failed.
+func (t *trial) address(ctx context.Context) (netip.AddrPort, error) {
+	if t.kept != nil && t.index >= len(t.kept.Addresses) {
+		t.caller.forget(t.key, t.kept)
+		t.kept = nil
+	}
+	if t.kept == nil {
+		kept, err := t.caller.addresses(ctx, t.key, time.Now())
+		if err != nil {
+			return netip.AddrPort{}, err
+		}
+		t.kept, t.index = kept, 0
+	}
+	return t.kept.Addresses[t.index], nil
+}
+
+// identify returns a new operation id, or none when no executor is known.
+func (t *trial) identify(a Attempt, address netip.AddrPort) string {
+	token := t.kept.Executor
+	if token == "" {
+		token = t.caller.token(address)
+	}
+	if token == "" {
+		return ""
+	}
+	return token + "/" + base(a.ID)
+}
+
+// after prepares the next attempt and returns the pause before it.
+func (t *trial) after(a Attempt, address netip.AddrPort) time.Duration {
+	switch {
+	case a.Outcome == Unsent:
+		t.index++
+		if t.index >= len(t.kept.Addresses) {
+			return backoff
+		}
+		return 0
+	case a.Outcome == Unrun && a.executor != "":
+		t.caller.learn(address, a.executor)
+		t.operation = a.executor + "/" + base(a.ID)
+		return 0
+	case a.Outcome == Unknown || a.Status == http.StatusServiceUnavailable:
+		t.index++
+	}
+	return max(a.Retry, backoff)
+}
