--- /dev/null
+++ b/internal/standin/loader/loader_test.go
@@ -0,0 +1,172 @@
+package loader
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"oriolecourse.example/oriolecourse/internal/standin/patterner"
+)
+
+// instance is a fake instance that answers each attempt as a script says.
+type instance struct {
+	*httptest.Server
+	dead netip.AddrPort
+
+	mu sync.Mutex
+	// operations holds the operation id of each attempt.
+	operations []string
+	// script answers attempt n, from 1 on.
+	script func(w http.ResponseWriter, id string, n int)
+}
+
+// newInstance starts a fake that names a dead instance first, then itself.
+func newInstance(t *testing.T, script func(http.ResponseWriter, string, int)) *instance {
+	t.Helper()
+	closed := httptest.NewServer(nil)
+	i := &instance{script: script, dead: address(closed)}
+	closed.Close()
+	i.Server = httptest.NewServer(i)
+	t.Cleanup(i.Close)
+	return i
+}
+
+// address returns the address of a server.
+func address(s *httptest.Server) netip.AddrPort {
+	return netip.MustParseAddrPort(s.Listener.Addr().String())
+}
+
+// ServeHTTP answers questions for addresses and attempts.
+func (i *instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v1/address" {
+		_ = json.NewEncoder(w).Encode(map[string]any{
+			"addresses": []netip.AddrPort{i.dead, address(i.Server)}, "keep": "1h", "executor": "e1",
+		})
+		return
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.operations = append(i.operations, r.Header.Get("Oriole-Operation"))
+	i.script(w, r.Header.Get("Request-Id"), len(i.operations))
+}
+
+// reply sends an answer with an outcome.
+func reply(w http.ResponseWriter, status int, outcome, body string, header ...string) {
+	w.Header().Set("Oriole-Outcome", outcome)
+	for n := 0; n+1 < len(header); n += 2 {
+		w.Header().Set(header[n], header[n+1])
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(body))
+}
+
+// whole sends the whole answer to a request.
+func whole(w http.ResponseWriter, id string) { reply(w, 200, "done", string(patterner.Body(id, 20))) }
+
+// crash breaks the connection.
+func crash(http.ResponseWriter, string, int) { panic(http.ErrAbortHandler) }
+
+func TestServe(t *testing.T) {
+	cases := []struct {
+		name string
+		once bool
+		// script holds the answers to the attempts; the last one repeats.
+		script []func(http.ResponseWriter, string, int)
+		// want holds the outcomes of the attempts and the request, then the
+		// operations sent.
+		want string
+	}{
+		{"falls over to the next address", false, []func(http.ResponseWriter, string, int){
+			func(w http.ResponseWriter, id string, _ int) { whole(w, id) },
+		}, "unsent done: done []"},
+		{"comes back when told", false, []func(http.ResponseWriter, string, int){
+			func(w http.ResponseWriter, _ string, _ int) { reply(w, 429, "unrun", "", "Oriole-Retry", "1ms") },
+			func(w http.ResponseWriter, id string, _ int) { whole(w, id) },
+		}, "unsent unrun done: done [ ]"},
+		{"sends an operation again under its id", true, []func(http.ResponseWriter, string, int){
+			crash, func(w http.ResponseWriter, _ string, _ int) { whole(w, "q.2") },
+		}, "unsent unknown unsent done: done [e1/q e1/q]"},
+		{"takes a fresh executor after a refusal", true, []func(http.ResponseWriter, string, int){
+			func(w http.ResponseWriter, _ string, _ int) { reply(w, 409, "unrun", "", "Oriole-Executor", "e2") },
+			func(w http.ResponseWriter, id string, _ int) { whole(w, id) },
+		}, "unsent unrun done: done [e1/q e2/q]"},
+		{"stays unknown when a resend is refused", true, []func(http.ResponseWriter, string, int){
+			crash, func(w http.ResponseWriter, _ string, _ int) { reply(w, 429, "unrun", "", "Oriole-Final", "true") },
+		}, "unsent unknown unsent unrun: unknown [e1/q e1/q]"},
+		{"gives up when the outcome is final", false, []func(http.ResponseWriter, string, int){
+			func(w http.ResponseWriter, _ string, _ int) { reply(w, 422, "unknown", "", "Oriole-Final", "true") },
+		}, "unsent unknown: unknown []"},
+		{"notes a crossed answer", false, []func(http.ResponseWriter, string, int){
+			func(w http.ResponseWriter, _ string, _ int) { whole(w, "other.1") },
+		}, "unsent done crossed: done []"},
+		{"notes a cut answer that looks whole", false, []func(http.ResponseWriter, string, int){
+			func(w http.ResponseWriter, id string, _ int) {
+				reply(w, 200, "done", string(patterner.Body(id, 20)[:15]))
+			},
+		}, "unsent done cut: done []"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			i := newInstance(t, func(w http.ResponseWriter, id string, n int) {
+				c.script[min(n, len(c.script))-1](w, id, n)
+			})
+			s := Settings{Instances: []netip.AddrPort{address(i.Server)}, Attempts: 4, Patience: 20 * time.Second}
+			caller := newCaller(s, 1, &atomic.Int64{})
+			r := caller.serve(t.Context(), Mix{Service: "s", Kind: "k", Once: c.once}, "q", time.Now())
+			if got := story(r, i.operations); got != c.want {
+				t.Errorf("got  %s\nwant %s", got, c.want)
+			}
+		})
+	}
+}
+
+// story tells what happened to a request.
+func story(r Request, operations []string) string {
+	var words []string
+	for _, a := range r.Attempts {
+		words = append(words, string(a.Outcome))
+		if a.Crossed {
+			words = append(words, "crossed")
+		}
+		if a.Cut {
+			words = append(words, "cut")
+		}
+	}
+	return fmt.Sprintf("%s: %s %v", strings.Join(words, " "), r.Outcome, operations)
+}
+
+func TestRunIsSeeded(t *testing.T) {
+	i := newInstance(t, func(w http.ResponseWriter, id string, _ int) { whole(w, id) })
+	s := Settings{
+		Instances: []netip.AddrPort{address(i.Server)}, Mixes: []Mix{{Service: "s", Kind: "k", Rate: 500}},
+		Duration: 100 * time.Millisecond, Seed: 1, Callers: 2, Attempts: 2, Patience: 20 * time.Second,
+	}
+	one, same := Run(t.Context(), s), Run(t.Context(), s)
+	if len(one.Requests) == 0 || len(one.Requests) != len(same.Requests) {
+		t.Errorf("%d and %d requests from one seed", len(one.Requests), len(same.Requests))
+	}
+	for _, r := range one.Requests {
+		if r.Outcome != Done {
+			t.Errorf("%s ended %s", r.ID, r.Outcome)
+		}
+	}
+}
+
+func TestParseMix(t *testing.T) {
+	m, err := ParseMix("parts/confirm rate=20 size=400 once")
+	if want := (Mix{Service: "parts", Kind: "confirm", Rate: 20, Size: 400, Once: true}); err != nil || m != want {
+		t.Errorf("got %+v, %v", m, err)
+	}
+	for _, text := range []string{"", "parts", "a/b rate=x", "a/b rate=-1", "a/b twice"} {
+		if _, err := ParseMix(text); err == nil {
+			t.Errorf("%q was taken", text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/worker/worker_test.go
@@ -0,0 +1,153 @@
+package worker
+
+import (
+	"context"
+	"io"
+	"math/rand"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"oriolecourse.example/oriolecourse/internal/standin/patterner"
+	"oriolecourse.example/oriolecourse/internal/standin/recorder"
+)
+
+// open starts a target with one slot and room for one waiting request.
+func open(t *testing.T, mean time.Duration) (*Worker, *httptest.Server) {
+	t.Helper()
+	w := New(Settings{Service: "s", Slots: 1, Queue: 1, Mean: mean, Stretch: 1}, nil, func(int) {}, time.Now())
+	s := httptest.NewServer(w.Handler())
+	t.Cleanup(s.Close)
+	return w, s
+}
+
+// get sends a request and returns its status, Target-State and body; status 0
+// is a missing or broken answer.
+func get(ctx context.Context, s *httptest.Server, path string, header ...string) (int, string, string) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, s.URL+path, nil)
+	if err != nil {
+		return 0, "", err.Error()
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	answer, err := s.Client().Do(request)
+	if err != nil {
+		return 0, "", err.Error()
+	}
+	defer func() { _ = answer.Body.Close() }()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, "", err.Error()
+	}
+	return answer.StatusCode, answer.Header.Get("Target-State"), string(text)
+}
+
+// begun counts the recorded runs.
+func begun(w *Worker) int {
+	count := 0
+	for _, e := range w.book.Events() {
+		if e.Type == recorder.Begin {
+			count++
+		}
+	}
+	return count
+}
+
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		fault, parameters string
+		status            int
+		state             string
+		runs              int
+	}{
+		{"mute", "", 200, "ready", 1},
+		{"slow", "3,1h", 200, "ready", 1},
+		{"coldstart", "3,1h", 200, "warming", 1},
+		{"drain", "", 200, "draining", 1},
+		{"drain", "refuse", 503, "draining", 0},
+		{"shed", "", 503, "shed", 0},
+		{"failfast", "", 500, "ready", 1},
+		{"halfanswer", "", 0, "", 1},
+		{"lateanswer", "1ms", 200, "ready", 1},
+		{"freeze", "1ms", 200, "ready", 1},
+	}
+	for _, c := range cases {
+		t.Run(c.fault+c.parameters, func(t *testing.T) {
+			w, s := open(t, time.Millisecond)
+			if answer, err := http.DefaultClient.Do(must(http.NewRequest(http.MethodPut, s.URL+"/fault/"+c.fault, strings.NewReader(c.parameters)))); err != nil || answer.StatusCode != http.StatusNoContent {
+				t.Fatal(answer, err)
+			}
+			status, state, body := get(t.Context(), s, "/find/x", "Request-Id", "a.1", "Answer-Size", "3000")
+			if status != c.status || state != c.state || begun(w) != c.runs {
+				t.Errorf("got %d %q, %d runs; want %d %q, %d", status, state, begun(w), c.status, c.state, c.runs)
+			}
+			if id, err := patterner.Check([]byte(body)); status == 200 && (err != nil || id != "a.1") {
+				t.Errorf("the body answers %q: %v", id, err)
+			}
+		})
+	}
+}
+
+// must returns a request that cannot fail.
+func must(r *http.Request, err error) *http.Request {
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+func TestQueuedWorkThatIsCancelledOrLateDoesNotRun(t *testing.T) {
+	w, s := open(t, time.Hour)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		get(ctx, s, "/find/x", "Request-Id", "a.1")
+	}()
+	for begun(w) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if status, state, _ := get(t.Context(), s, "/find/x", "Oriole-Deadline", "5ms"); status != 503 || state != "shed" {
+		t.Errorf("late: got %d %q", status, state)
+	}
+	cancel()
+	<-ended
+	for w.running.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if events := w.book.Events(); begun(w) != 1 || events[len(events)-1].Cause != "cancelled" {
+		t.Errorf("the record is %v", events)
+	}
+}
+
+func TestDeadlineEndsRunningWork(t *testing.T) {
+	w, s := open(t, time.Hour)
+	if status, _, _ := get(t.Context(), s, "/find/x", "Oriole-Deadline", "5ms"); status != 504 || begun(w) != 1 {
+		t.Errorf("got %d, %d runs", status, begun(w))
+	}
+}
+
+func TestNoise(t *testing.T) {
+	parameters := gopter.DefaultTestParameters()
+	parameters.Rng = rand.New(rand.NewSource(1))
+	properties := gopter.NewProperties(parameters)
+	noise := Noise{Factor: 6, Least: 30 * time.Millisecond, Most: 70 * time.Millisecond, Every: 100 * time.Millisecond}
+	at := time.Unix(0, 0)
+	properties.Property("work takes between its time and the factor of it", prop.ForAll(
+		func(seed int64, work, after uint32) bool {
+			d := time.Duration(work) / 10
+			begin := at.Add(time.Duration(after))
+			one := newNeighbour(noise, 1, seed, at).elapsed(d, begin)
+			same := newNeighbour(noise, 1, seed, at).elapsed(d, begin)
+			rounding := time.Duration(1000)
+			return one == same && one >= d-rounding && one <= 6*d+rounding
+		}, gen.Int64(), gen.UInt32(), gen.UInt32()))
+	properties.TestingRun(t)
+}
