--- /dev/null
+++ b/internal/connection/sender/pool.go
@@ -0,0 +1,106 @@
+package sender
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gravitational/trace"
+)
+
+// pool holds the connections to one target.
+type pool struct {
+	// transport is replaced when the share changes.
+	transport atomic.Pointer[http.Transport]
+	// open counts the connections of all transports that the pool has had.
+	open atomic.Int64
+	// share is the largest number of open connections.
+	share atomic.Int64
+	// mutex orders changes of the share.
+	mutex sync.Mutex
+}
+
+// Share sets the largest number of connections to a target.
+func (s *Sender) Share(target netip.AddrPort, share int) {
+	p := s.pool(target)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.share.Swap(int64(max(share, 1))) == int64(max(share, 1)) {
+		return
+	}
+	if t := p.transport.Swap(s.transport(p, target)); t != nil {
+		t.CloseIdleConnections()
+	}
+}
+
+// Open returns the number of open connections to a target.
+func (s *Sender) Open(target netip.AddrPort) int {
+	return int(s.pool(target).open.Load())
+}
+
+// Forget closes the idle connections to a target that is gone.
+func (s *Sender) Forget(target netip.AddrPort) {
+	if p, ok := s.pools.LoadAndDelete(target); ok {
+		p.(*pool).transport.Load().CloseIdleConnections()
+	}
+}
+
+func (s *Sender) pool(target netip.AddrPort) *pool {
+	if p, ok := s.pools.Load(target); ok {
+		return p.(*pool)
+	}
+	p := &pool{}
+	p.share.Store(1)
+	p.transport.Store(s.transport(p, target))
+	kept, _ := s.pools.LoadOrStore(target, p)
+	return kept.(*pool)
+}
+
+func (s *Sender) transport(p *pool, target netip.AddrPort) *http.Transport {
+	share := int(p.share.Load())
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return s.dial(ctx, p, target, network, address)
+		},
+		MaxConnsPerHost:     share,
+		MaxIdleConnsPerHost: share,
+		IdleConnTimeout:     idleTimeout,
+		// The answer is passed on as the target sent it.
+		DisableCompression: true,
+	}
+}
+
+// dial opens a connection unless the share is used up, which happens only for a
+// moment after the share has been lowered.
+func (s *Sender) dial(ctx context.Context, p *pool, target netip.AddrPort, network, address string) (net.Conn, error) {
+	if p.open.Add(1) > p.share.Load() {
+		p.open.Add(-1)
+		return nil, trace.LimitExceeded("all connections to %s are in use", target)
+	}
+	d := net.Dialer{Timeout: s.DialTimeout}
+	c, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		p.open.Add(-1)
+		return nil, trace.Wrap(err)
+	}
+	if s.Opened != nil {
+		s.Opened(target)
+	}
+	return &counted{Conn: c, open: &p.open}, nil
+}
+
+// counted is a connection that leaves the count of its pool once when it closes.
+type counted struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+// Close closes the connection.
+func (c *counted) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/process/meter/meter.go
@@ -0,0 +1,39 @@
+package meter
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// interval is the time between two reports of tally to the scraped page.
+const interval = time.Second
+
+// Meter holds the root scope of a process.
+type Meter struct {
+	// Scope is the root of all counters.
+	Scope tally.Scope
+	// Page serves the counters in the Prometheus text format.
+	Page http.Handler
+
+	closer io.Closer
+}
+
+// New makes a meter whose counters start with the name of the program.
+func New() *Meter {
+	r := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "oriolecourse",
+		CachedReporter: r,
+		Separator:      prometheus.DefaultSeparator,
+	}, interval)
+	return &Meter{Scope: scope, Page: r.HTTPHandler(), closer: closer}
+}
+
+// Close reports the counters a last time.
+func (m *Meter) Close() error {
+	return m.closer.Close()
+}
--- /dev/null
+++ b/internal/request/handler/handler.go
@@ -0,0 +1,81 @@
+package handler
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	oteltrace "go.opentelemetry.io/otel/trace"
+
+	"oriolecourse.example/oriolecourse/internal/connection/sender"
+	"oriolecourse.example/oriolecourse/internal/process/dispatcher"
+)
+
+// Handler carries requests. All fields are set before the first use.
+type Handler struct {
+	// Dispatcher returns the decider of a service.
+	Dispatcher func(place, service string) *dispatcher.Dispatcher
+	// Send sends one request to one target.
+	Send func(ctx context.Context, target netip.AddrPort, r sender.Request) (*sender.Answer, sender.Effect, error)
+	// Quarantined tells whether a request has broken its targets, and when to come back.
+	Quarantined func(r *Request, now time.Time) (retry time.Duration, yes bool)
+	// Suspected tells whether a request has broken one target.
+	Suspected func(r *Request, now time.Time) bool
+	// Observe reports what the headers of a target's answer say of the target.
+	Observe func(r *Request, target netip.AddrPort, h http.Header, now time.Time)
+	// Broke reports a request whose connection the target broke.
+	Broke func(r *Request, target dispatcher.Target, now time.Time)
+	// Account adds one attempt to the costs.
+	Account func(r *Request, a Attempt)
+	// Clock returns the present time.
+	Clock func() time.Time
+	// Tracer starts a span for each attempt.
+	Tracer oteltrace.Tracer
+}
+
+// Role tells why an attempt was made.
+type Role string
+
+// The roles of attempts.
+const (
+	First  Role = "first"
+	Retry  Role = "retry"
+	Second Role = "second"
+)
+
+// Attempt is one sending of a request to a target.
+type Attempt struct {
+	Role   Role
+	Target dispatcher.Target
+	Effect sender.Effect
+	// Answer is nil unless the effect is Done or Disowned.
+	Answer *sender.Answer
+	// Latency is the time from the sending to the whole answer.
+	Latency time.Duration
+	// Sent and Received are body bytes.
+	Sent, Received int
+	// Cancelled means that the instance itself gave the attempt up.
+	Cancelled bool
+}
+
+// Handle carries a request to its outcome. The context ends with the caller's
+// connection; a request that may run only once goes on without the caller.
+func (h *Handler) Handle(ctx context.Context, r *Request) *Outcome {
+	now := h.Clock()
+	if retry, yes := h.Quarantined(r, now); yes {
+		return Doubt(CauseQuarantine, retry)
+	}
+	if r.Policy.Once {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	c := &race{
+		handler:    h,
+		request:    r,
+		dispatcher: h.Dispatcher(r.Policy.Place, r.Policy.Service),
+		results:    make(chan Attempt, attempts),
+	}
+	return c.run(ctx)
+}
--- /dev/null
+++ b/internal/request/handler/outcome.go
@@ -0,0 +1,112 @@
+package handler
+
+import (
+	"net/http"
+	"time"
+)
+
+// Kind is what is known about the effect of a request.
+type Kind string
+
+// The outcomes, as the Oriole-Outcome header gives them.
+const (
+	// Done means that the answer is the target's whole answer.
+	Done Kind = "done"
+	// Unrun means that the request has not run and that this attempt never will.
+	Unrun Kind = "unrun"
+	// Unknown means that the request may or may not have run.
+	Unknown Kind = "unknown"
+)
+
+// Cause names the reason of an outcome that is not done.
+type Cause string
+
+// The causes, as the first word of the answer's body gives them.
+const (
+	CauseNone       Cause = ""
+	CauseBusy       Cause = "busy"
+	CauseTargets    Cause = "targets"
+	CauseDeadline   Cause = "deadline"
+	CauseBroken     Cause = "broken"
+	CauseName       Cause = "name"
+	CauseSize       Cause = "size"
+	CauseOperation  Cause = "operation"
+	CauseForgotten  Cause = "forgotten"
+	CauseGone       Cause = "gone"
+	CauseUnreached  Cause = "unreached"
+	CauseQuarantine Cause = "quarantine"
+	CauseCancelled  Cause = "cancelled"
+)
+
+// record describes one cause to callers.
+type record struct {
+	// Status is the HTTP status of the answer.
+	Status int
+	// Text says what happened.
+	Text string
+	// Final means that trying the same request again is useless.
+	Final bool
+	// Retry is when to come back if no better time is known; 0 if never.
+	Retry time.Duration
+}
+
+// The times after which a caller may come back when nothing better is known.
+const (
+	retrySoon = 50 * time.Millisecond
+	retryLate = time.Second
+)
+
+// records holds one record for each cause.
+var records = map[Cause]record{
+	CauseBusy:       {Status: http.StatusTooManyRequests, Text: "no room for the request", Retry: retrySoon},
+	CauseTargets:    {Status: http.StatusServiceUnavailable, Text: "no target can take the request", Retry: retryLate},
+	CauseDeadline:   {Status: http.StatusGatewayTimeout, Text: "the deadline has passed or cannot be met", Retry: retrySoon},
+	CauseBroken:     {Status: http.StatusBadGateway, Text: "the target broke off", Retry: retrySoon},
+	CauseName:       {Status: http.StatusNotFound, Text: "the settings have no such service or kind", Final: true},
+	CauseSize:       {Status: http.StatusRequestEntityTooLarge, Text: "the body is larger than the settings allow", Final: true},
+	CauseOperation:  {Status: http.StatusConflict, Text: "the kind needs a valid operation id of an open epoch; use the executor given here", Retry: retrySoon},
+	CauseForgotten:  {Status: http.StatusConflict, Text: "the epoch of the operation is over; it will not run again", Final: true},
+	CauseGone:       {Status: http.StatusConflict, Text: "the executor of the operation is gone; it will not run again", Final: true},
+	CauseUnreached:  {Status: http.StatusBadGateway, Text: "the executor of the operation is out of reach", Retry: retryLate},
+	CauseQuarantine: {Status: http.StatusUnprocessableEntity, Text: "the request broke the targets that ran it", Final: true},
+	CauseCancelled:  {Status: http.StatusGatewayTimeout, Text: "the caller went away", Retry: retrySoon},
+}
+
+// Outcome is the final answer to one request.
+type Outcome struct {
+	Kind  Kind
+	Cause Cause
+	// Status, Header and Body are the target's answer when Kind is Done.
+	Status int
+	Header http.Header
+	Body   []byte
+	// Retry is when to come back; 0 if that is useless.
+	Retry time.Duration
+	// Final means that trying the same request again is useless.
+	Final bool
+	// Executor is a fresh token for kinds that run at most once.
+	Executor string
+}
+
+// Refuse makes an outcome of a request that did not run.
+func Refuse(c Cause, retry time.Duration) *Outcome {
+	return outcome(Unrun, c, retry)
+}
+
+// Doubt makes an outcome of a request that may have run.
+func Doubt(c Cause, retry time.Duration) *Outcome {
+	return outcome(Unknown, c, retry)
+}
+
+func outcome(k Kind, c Cause, retry time.Duration) *Outcome {
+	r := records[c]
+	if retry <= 0 {
+		retry = r.Retry
+	}
+	return &Outcome{Kind: k, Cause: c, Status: r.Status, Retry: retry, Final: r.Final}
+}
+
+// Text says what happened, for the body of an answer that is not done.
+func (o *Outcome) Text() string {
+	return string(o.Cause) + ": " + records[o.Cause].Text + "\n"
+}
--- /dev/null
+++ b/internal/request/handler/request.go
@@ -0,0 +1,81 @@
+package handler
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"oriolecourse.example/oriolecourse/internal/connection/sender"
+	"oriolecourse.example/oriolecourse/internal/version/resolver"
+)
+
+// The headers of the callers' interface.
+const (
+	HeaderOperation = "Oriole-Operation"
+	HeaderDeadline  = "Oriole-Deadline"
+	HeaderOutcome   = "Oriole-Outcome"
+	HeaderRetry     = "Oriole-Retry"
+	HeaderFinal     = "Oriole-Final"
+	HeaderExecutor  = "Oriole-Executor"
+	HeaderInstance  = "Oriole-Instance"
+
+	headerPrefix = "Oriole-"
+)
+
+// Request is one request of a caller with its whole body.
+type Request struct {
+	// Policy holds the settings that are in force for the request to its end.
+	Policy *resolver.Policy
+	Method string
+	// Path is the escaped path for the target, with the query if there is one.
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Operation is the id of a kind that runs at most once.
+	Operation string
+	// Arrived is when the request came in, Deadline when its answer is due.
+	Arrived  time.Time
+	Deadline time.Time
+}
+
+// hops are the headers that belong to one connection.
+var hops = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// Strip returns a copy of the headers without those of one connection and
+// without those of the callers' interface.
+func Strip(h http.Header) http.Header {
+	kept := h.Clone()
+	for _, list := range h.Values("Connection") {
+		for _, name := range strings.Split(list, ",") {
+			kept.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hops {
+		kept.Del(name)
+	}
+	for name := range kept {
+		if strings.HasPrefix(name, headerPrefix) {
+			delete(kept, name)
+		}
+	}
+	return kept
+}
+
+// message makes the request to a target.
+func (r *Request) message(now time.Time) sender.Request {
+	h := Strip(r.Header)
+	h.Set(HeaderDeadline, r.Deadline.Sub(now).String())
+	if r.Operation != "" {
+		h.Set(HeaderOperation, r.Operation)
+	}
+	return sender.Request{
+		Method: r.Method,
+		Path:   r.Path,
+		Header: h,
+		Body:   r.Body,
+		Limit:  r.Policy.Body,
+	}
+}
