--- a/internal/request/handler/handler.go
+++ b/internal/request/handler/handler.go
@@ -10,22 +10,23 @@
 
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
 	"oriolecourse.example/oriolecourse/internal/process/dispatcher"
+	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
 )
 
 // Handler carries requests. All fields are set before the first use.
 type Handler struct {
 	// Dispatcher returns the decider of a service.
 	Dispatcher func(place, service string) *dispatcher.Dispatcher
+	// Quarantine contains requests that crash their targets.
+	Quarantine *quarantiner.Table
 	// Send sends one request to one target.
 	Send func(ctx context.Context, target netip.AddrPort, r sender.Request) (*sender.Answer, sender.Effect, error)
-	// Quarantined tells whether a request has broken its targets, and when to come back.
-	Quarantined func(r *Request, now time.Time) (retry time.Duration, yes bool)
-	// Suspected tells whether a request has broken one target.
-	Suspected func(r *Request, now time.Time) bool
+	// Start names the run of a target's process, empty if unknown.
+	Start func(r *Request, target netip.AddrPort) string
 	// Observe reports what the headers of a target's answer say of the target.
-	Observe func(r *Request, target netip.AddrPort, h http.Header, now time.Time)
-	// Broke reports a request whose connection the target broke.
-	Broke func(r *Request, target dispatcher.Target, now time.Time)
+	Observe func(r *Request, target netip.AddrPort, h http.Header, sent, now time.Time)
+	// Tell spreads a loss to the peers.
+	Tell func(u quarantiner.Rumour)
 	// Account adds one attempt to the costs.
 	Account func(r *Request, a Attempt)
 	// Clock returns the present time.
@@ -47,7 +48,7 @@
 // Attempt is one sending of a request to a target.
 type Attempt struct {
 	Role   Role
-	Target dispatcher.Target
+	Target netip.AddrPort
 	Effect sender.Effect
 	// Answer is nil unless the effect is Done or Disowned.
 	Answer *sender.Answer
@@ -62,9 +63,16 @@
 // Handle carries a request to its outcome. The context ends with the caller's
 // connection; a request that may run only once goes on without the caller.
 func (h *Handler) Handle(ctx context.Context, r *Request) *Outcome {
-	now := h.Clock()
-	if retry, yes := h.Quarantined(r, now); yes {
+	r.fingerprint = r.sum()
+	service := quarantiner.Service{Place: r.Policy.Place, Service: r.Policy.Service}
+	verdict, retry := h.Quarantine.Enter(service, r.fingerprint, h.Clock())
+	switch verdict {
+	case quarantiner.Quarantined:
 		return Doubt(CauseQuarantine, retry)
+	case quarantiner.Busy:
+		return Refuse(CauseBusy, retry)
+	case quarantiner.Apart:
+		defer h.Quarantine.Leave(service, r.fingerprint)
 	}
 	if r.Policy.Once {
 		ctx = context.WithoutCancel(ctx)
@@ -76,6 +84,7 @@
 		request:    r,
 		dispatcher: h.Dispatcher(r.Policy.Place, r.Policy.Service),
 		results:    make(chan Attempt, attempts),
+		alone:      verdict == quarantiner.Apart,
 	}
 	return c.run(ctx)
 }
--- a/internal/request/handler/race.go
+++ b/internal/request/handler/race.go
@@ -12,6 +12,9 @@
 
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
 	"oriolecourse.example/oriolecourse/internal/process/dispatcher"
+	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
+	"oriolecourse.example/oriolecourse/internal/request/queuer"
+	"oriolecourse.example/oriolecourse/internal/request/retrier"
 )
 
 // attempts bounds the sendings of one request.
@@ -38,6 +41,9 @@
 	lost bool
 	// last is the newest answer of a target that did not end the race.
 	last *sender.Answer
+	// alone means that the request is suspected of crashing targets: it gets one
+	// attempt, so that a loss points at one target.
+	alone bool
 }
 
 // run makes attempts until one of them settles the request.
@@ -66,13 +72,12 @@
 
 // timer fires when a second try is due, or never.
 func (c *race) timer() *time.Timer {
-	p := c.request.Policy
-	if p.Once || p.Hedge <= 0 {
-		t := time.NewTimer(time.Hour)
+	delay, ok := c.dispatcher.HedgeDelay(c.request.Policy)
+	t := time.NewTimer(delay)
+	if !ok || c.alone {
 		t.Stop()
-		return t
 	}
-	return time.NewTimer(p.Hedge)
+	return t
 }
 
 func (c *race) want() dispatcher.Want {
@@ -80,6 +85,7 @@
 		Policy:   c.request.Policy,
 		Deadline: c.request.Deadline,
 		Exclude:  c.tried,
+		Tries:    c.made,
 		Now:      c.handler.Clock(),
 	}
 }
@@ -90,14 +96,22 @@
 	if refusal != nil {
 		return c.refused(ctx, refusal)
 	}
-	if now := c.handler.Clock(); !now.Before(c.request.Deadline) {
-		lease.Release(dispatcher.Result{Kind: dispatcher.Cancelled}, now)
+	if now := c.handler.Clock(); !c.permitted(now) {
+		lease.Release(dispatcher.Result{Kind: retrier.Unsent}, now)
 		return c.ended(CauseDeadline, 0)
 	}
 	c.start(ctx, lease, role)
 	return nil
 }
 
+// permitted tells whether the request may still be sent.
+func (c *race) permitted(now time.Time) bool {
+	if !now.Before(c.request.Deadline) {
+		return false
+	}
+	return c.made > 0 || c.request.Permit == nil || c.request.Permit(now)
+}
+
 // refused turns a refusal of the dispatcher into an outcome.
 func (c *race) refused(ctx context.Context, f *dispatcher.Refusal) *Outcome {
 	if ctx.Err() != nil {
@@ -106,12 +120,14 @@
 	return c.ended(causes[f.Cause], f.Retry)
 }
 
-// causes maps the dispatcher's refusals.
-var causes = map[dispatcher.Cause]Cause{
-	dispatcher.CauseFull:      CauseBusy,
-	dispatcher.CauseDeadline:  CauseDeadline,
-	dispatcher.CauseTargets:   CauseTargets,
-	dispatcher.CauseCancelled: CauseCancelled,
+// causes maps the refusals of the queue.
+var causes = map[queuer.Cause]Cause{
+	queuer.NoTarget:  CauseTargets,
+	queuer.Full:      CauseBusy,
+	queuer.Displaced: CauseBusy,
+	queuer.Overdue:   CauseBusy,
+	queuer.Late:      CauseDeadline,
+	queuer.Withdrawn: CauseCancelled,
 }
 
 // ended makes the outcome of a request without an answer.
@@ -130,11 +146,7 @@
 	if c.running == 0 || c.made >= attempts {
 		return
 	}
-	now := c.handler.Clock()
-	if c.handler.Suspected(c.request, now) {
-		return
-	}
-	if lease, ok := c.dispatcher.Hedge(c.want(), now); ok {
+	if lease, ok := c.dispatcher.Hedge(c.want(), c.handler.Clock()); ok {
 		c.start(ctx, lease, Second)
 	}
 }
@@ -143,7 +155,7 @@
 func (c *race) start(ctx context.Context, lease *dispatcher.Lease, role Role) {
 	c.running++
 	c.made++
-	c.tried = append(c.tried, lease.Target.Address)
+	c.tried = append(c.tried, lease.Target)
 	go func() { c.results <- c.handler.attempt(ctx, c.request, lease, role) }()
 }
 
@@ -152,12 +164,12 @@
 	begun := h.Clock()
 	ctx, span := h.Tracer.Start(ctx, "send", oteltrace.WithSpanKind(oteltrace.SpanKindClient),
 		oteltrace.WithAttributes(
-			attribute.String("target", lease.Target.Address.String()),
+			attribute.String("target", lease.Target.String()),
 			attribute.String("role", string(role))))
 	defer span.End()
 	m := r.message(begun)
 	propagator.Inject(ctx, propagation.HeaderCarrier(m.Header))
-	answer, effect, err := h.Send(ctx, lease.Target.Address, m)
+	answer, effect, err := h.Send(ctx, lease.Target, m)
 	now := h.Clock()
 	a := Attempt{
 		Role:      role,
@@ -170,38 +182,55 @@
 	}
 	if answer != nil {
 		a.Received = len(answer.Body)
-		h.Observe(r, lease.Target.Address, answer.Header, now)
+		h.Observe(r, lease.Target, answer.Header, begun, now)
 	}
-	lease.Release(result(a), now)
+	lease.Release(h.result(r, a, now), now)
 	h.Account(r, a)
-	if effect == sender.Lost && !a.Cancelled {
-		h.Broke(r, lease.Target, now)
-	}
+	h.judge(r, a, begun, now)
 	return a
 }
 
+// judge reports to the quarantine how the target fared with the request.
+func (h *Handler) judge(r *Request, a Attempt, begun, now time.Time) {
+	run := quarantiner.Run{Address: a.Target, Start: h.Start(r, a.Target)}
+	switch {
+	case a.Answer != nil:
+		h.Quarantine.Alive(run, begun, now)
+		h.Quarantine.Answered(r.fingerprint, now)
+	case a.Effect == sender.Lost && !a.Cancelled:
+		service := quarantiner.Service{Place: r.Policy.Place, Service: r.Policy.Service}
+		h.Tell(h.Quarantine.Lost(service, r.fingerprint, run, now))
+	}
+}
+
 // result tells the dispatcher how an attempt ended.
-func result(a Attempt) dispatcher.Result {
-	r := dispatcher.Result{Latency: a.Latency, Kind: kind(a)}
+func (h *Handler) result(r *Request, a Attempt, now time.Time) dispatcher.Result {
+	d := dispatcher.Result{Latency: a.Latency, Kind: ending(a)}
 	if a.Answer != nil {
-		r.Report = dispatcher.ParseReport(a.Answer.Header)
-		r.State = a.Answer.Header.Get("Target-State")
+		d.Report = dispatcher.ParseReport(a.Answer.Header.Get(HeaderReport))
+		d.State = a.Answer.Header.Get(HeaderState)
 	}
-	return r
+	if d.Kind == retrier.Lost && h.Quarantine.Suspect(r.fingerprint, now) {
+		// A request that is suspected of crashing targets says nothing of theirs.
+		d.Kind = retrier.Cancelled
+	}
+	return d
 }
 
-func kind(a Attempt) dispatcher.Kind {
+func ending(a Attempt) retrier.Ending {
 	switch {
 	case a.Cancelled:
-		return dispatcher.Cancelled
+		return retrier.Cancelled
 	case a.Effect == sender.Disowned:
-		return dispatcher.Shed
+		return retrier.Shed
 	case a.Effect == sender.Lost:
-		return dispatcher.Lost
-	case a.Effect == sender.Unsent, failed(a.Answer):
-		return dispatcher.Failed
+		return retrier.Lost
+	case a.Effect == sender.Unsent:
+		return retrier.Unsent
+	case failed(a.Answer):
+		return retrier.Failed
 	}
-	return dispatcher.Done
+	return retrier.Done
 }
 
 // failed tells answers with which a target reports that it is itself at fault.
@@ -232,21 +261,35 @@
 
 // again makes a further attempt if the last one left that open.
 func (c *race) again(ctx context.Context, a Attempt) *Outcome {
+	if c.alone || c.made >= attempts {
+		return c.ended(reason(a), 0)
+	}
 	now := c.handler.Clock()
-	if retry, yes := c.handler.Quarantined(c.request, now); yes {
-		return Doubt(CauseQuarantine, retry)
+	if c.handler.Quarantine.Suspect(c.request.fingerprint, now) {
+		return c.ended(reason(a), quarantiner.BusyRetry)
 	}
-	safe := a.Effect == sender.Unsent || a.Effect == sender.Disowned || !c.request.Policy.Once
-	if !safe || c.made >= attempts {
+	ok, after := c.dispatcher.Retry(c.want(), ending(a), now)
+	if !ok {
 		return c.ended(reason(a), 0)
 	}
-	ok, after := c.dispatcher.Retry(c.want(), now)
-	if !ok {
-		return c.ended(reason(a), after)
+	if err := pause(ctx, after); err != nil {
+		return c.expire(ctx)
 	}
 	return c.begin(ctx, Retry)
 }
 
+// pause waits, or returns the error of a context that ends before.
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // reason names why an attempt failed.
 func reason(a Attempt) Cause {
 	switch a.Effect {
--- a/internal/request/handler/request.go
+++ b/internal/request/handler/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
+	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
 	"oriolecourse.example/oriolecourse/internal/version/resolver"
 )
 
@@ -22,6 +23,13 @@
 	headerPrefix = "Oriole-"
 )
 
+// The headers of a target's answer that tell of the target itself.
+const (
+	HeaderReport = "Endpoint-Load-Metrics"
+	HeaderState  = "Target-State"
+	HeaderStart  = "Target-Start"
+)
+
 // Request is one request of a caller with its whole body.
 type Request struct {
 	// Policy holds the settings that are in force for the request to its end.
@@ -36,6 +44,17 @@
 	// Arrived is when the request came in, Deadline when its answer is due.
 	Arrived  time.Time
 	Deadline time.Time
+	// Permit is asked right before the request is first sent; nil permits it.
+	Permit func(now time.Time) bool
+
+	// fingerprint is the digest of the content.
+	fingerprint quarantiner.Fingerprint
+}
+
+// sum returns the digest of the request's content.
+func (r *Request) sum() quarantiner.Fingerprint {
+	p := r.Policy
+	return quarantiner.Sum(p.Place, p.Service, p.Kind, r.Method, r.Path, r.Body)
 }
 
 // hops are the headers that belong to one connection.
