--- a/internal/request/handler/outcome.go
+++ b/internal/request/handler/outcome.go
@@ -33,6 +33,8 @@
 	CauseOperation  Cause = "operation"
 	CauseForgotten  Cause = "forgotten"
 	CauseGone       Cause = "gone"
+	CauseMismatch   Cause = "mismatch"
+	CauseDropped    Cause = "dropped"
 	CauseUnreached  Cause = "unreached"
 	CauseQuarantine Cause = "quarantine"
 	CauseCancelled  Cause = "cancelled"
@@ -67,6 +69,8 @@
 	CauseOperation:  {Status: http.StatusConflict, Text: "the kind needs a valid operation id of an open epoch; use the executor given here", Retry: retrySoon},
 	CauseForgotten:  {Status: http.StatusConflict, Text: "the epoch of the operation is over; it will not run again", Final: true},
 	CauseGone:       {Status: http.StatusConflict, Text: "the executor of the operation is gone; it will not run again", Final: true},
+	CauseMismatch:   {Status: http.StatusConflict, Text: "the operation id belongs to another request", Final: true},
+	CauseDropped:    {Status: http.StatusConflict, Text: "the operation has run; its answer is no longer kept", Final: true},
 	CauseUnreached:  {Status: http.StatusBadGateway, Text: "the executor of the operation is out of reach", Retry: retryLate},
 	CauseQuarantine: {Status: http.StatusUnprocessableEntity, Text: "the request broke the targets that ran it", Final: true},
 	CauseCancelled:  {Status: http.StatusGatewayTimeout, Text: "the caller went away", Retry: retrySoon},
