--- /dev/null
+++ b/internal/process/assembler/accounts.go
@@ -0,0 +1,57 @@
+package assembler
+
+import (
+	"net/netip"
+
+	"oriolecourse.example/oriolecourse/internal/process/accountant"
+	"oriolecourse.example/oriolecourse/internal/process/dispatcher"
+	"oriolecourse.example/oriolecourse/internal/request/handler"
+	"oriolecourse.example/oriolecourse/internal/version/resolver"
+)
+
+func key(p *resolver.Policy) accountant.Key {
+	return accountant.Key{Place: p.Place, Service: p.Service, Kind: p.Kind}
+}
+
+// dispatcher returns the decider of a service.
+func (i *Instance) dispatcher(place, name string) *dispatcher.Dispatcher {
+	return i.services.get(place, name, i.handler.Clock()).dispatcher
+}
+
+// account adds an attempt to the costs of its kind.
+func (i *Instance) account(r *handler.Request, a handler.Attempt) {
+	c := i.accounts.Counters(key(r.Policy))
+	c.Target.Add(int64(a.Latency))
+	switch a.Role {
+	case handler.Retry:
+		c.Retries.Add(1)
+	case handler.Second:
+		c.Hedges.Add(1)
+	}
+}
+
+// settle adds a request and its outcome to the costs of its kind.
+func (i *Instance) settle(r *handler.Request, o *handler.Outcome) {
+	c := i.accounts.Counters(key(r.Policy))
+	c.Requests.Add(1)
+	c.In.Add(int64(len(r.Body)))
+	c.Out.Add(int64(len(o.Body)))
+	switch o.Kind {
+	case handler.Done:
+		c.Done.Add(1)
+	case handler.Unrun:
+		c.Unrun.Add(1)
+	case handler.Unknown:
+		c.Unknown.Add(1)
+	}
+}
+
+// opened adds a connection to the costs of the target's service.
+func (i *Instance) opened(target netip.AddrPort) {
+	homes := i.homes.Load()
+	if homes == nil {
+		return
+	}
+	s := (*homes)[target]
+	i.accounts.Counters(accountant.Key{Place: s.Place, Service: s.Service}).Connections.Add(1)
+}
--- /dev/null
+++ b/internal/process/assembler/instance.go
@@ -0,0 +1,162 @@
+package assembler
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"oriolecourse.example/oriolecourse/internal/connection/sender"
+	"oriolecourse.example/oriolecourse/internal/process/accountant"
+	"oriolecourse.example/oriolecourse/internal/process/adopter"
+	"oriolecourse.example/oriolecourse/internal/process/executor"
+	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
+	"oriolecourse.example/oriolecourse/internal/process/tracker"
+	"oriolecourse.example/oriolecourse/internal/request/handler"
+	"oriolecourse.example/oriolecourse/internal/version/lister"
+	"oriolecourse.example/oriolecourse/internal/version/resolver"
+)
+
+// dialTimeout bounds the dialing of a connection to a target.
+const dialTimeout = 500 * time.Millisecond
+
+// Instance holds the parts of one running instance.
+type Instance struct {
+	options Options
+	// incarnation differs between any two starts of the process; never 0.
+	incarnation uint64
+
+	settings   *adopter.Adopter[resolver.Snapshot]
+	list       *adopter.Adopter[lister.List]
+	tracker    *tracker.Tracker
+	services   *services
+	table      *executor.Table
+	quarantine *quarantiner.Table
+	accounts   *accountant.Accountant
+	sender     *sender.Sender
+	handler    *handler.Handler
+	operator   *handler.Operator
+
+	// homes names the service of each target in use.
+	homes atomic.Pointer[map[netip.AddrPort]tracker.Service]
+	// changed wakes the refresher; it has room for one signal.
+	changed chan struct{}
+}
+
+// New puts an instance together without starting it.
+func New(o Options) *Instance {
+	now := time.Now()
+	i := &Instance{
+		options:     o,
+		incarnation: rand.Uint64() | 1,
+		settings:    adopter.NewSettings(),
+		list:        adopter.NewList(),
+		tracker:     tracker.New(),
+		services:    newServices(o.Zone),
+		quarantine:  quarantiner.New(quarantiner.DefaultLimits),
+		accounts:    accountant.New(o.Address, o.Zone, now),
+		changed:     make(chan struct{}, 1),
+	}
+	i.table = executor.New(o.Peer, i.incarnation, limits(nil), now)
+	i.sender = &sender.Sender{DialTimeout: dialTimeout, Opened: i.opened}
+	i.handler = i.newHandler()
+	i.operator = &handler.Operator{Table: i.table, Handler: i.handler, Forward: i.forward}
+	i.settings.Change = func(s *resolver.Snapshot, p adopter.Stamp, now time.Time) { i.adopted("settings", p, now) }
+	i.list.Change = func(l *lister.List, p adopter.Stamp, now time.Time) {
+		i.tracker.List(l, now)
+		i.adopted("list", p, now)
+	}
+	return i
+}
+
+func (i *Instance) newHandler() *handler.Handler {
+	return &handler.Handler{
+		Dispatcher: i.dispatcher,
+		Quarantine: i.quarantine,
+		Send:       i.sender.Send,
+		Start:      i.start,
+		Observe:    i.observe,
+		Tell:       i.tellLoss,
+		Account:    i.account,
+		Clock:      time.Now,
+		Tracer:     i.options.Tracer,
+	}
+}
+
+// adopted logs a new document and has it put into force.
+func (i *Instance) adopted(kind string, p adopter.Stamp, _ time.Time) {
+	i.options.Scope.Tagged(map[string]string{"document": kind}).Counter("adopted").Inc(1)
+	_ = i.options.Logger.Log("event", "adopted", "document", kind, "version", p.Version, "digest", p.Digest)
+	i.wake()
+}
+
+// wake has the refresher run soon.
+func (i *Instance) wake() {
+	select {
+	case i.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Handle carries one request of a caller.
+func (i *Instance) Handle(ctx context.Context, r *handler.Request) *handler.Outcome {
+	i.services.get(r.Policy.Place, r.Policy.Service, r.Arrived).calls.Add(1)
+	var o *handler.Outcome
+	if r.Policy.Once {
+		o = i.operator.Handle(ctx, r)
+	} else {
+		o = i.handler.Handle(ctx, r)
+	}
+	i.settle(r, o)
+	return o
+}
+
+// start names the run of a target's process.
+func (i *Instance) start(r *handler.Request, target netip.AddrPort) string {
+	t, _ := i.tracker.Target(tracker.Key{Place: r.Policy.Place, Service: r.Policy.Service, Address: target})
+	return t.Start
+}
+
+// observe hands what a target said of itself to the tracker.
+func (i *Instance) observe(r *handler.Request, target netip.AddrPort, h http.Header, sent, now time.Time) {
+	i.evidence(tracker.Key{Place: r.Policy.Place, Service: r.Policy.Service, Address: target}, h, sent, now)
+}
+
+func (i *Instance) evidence(k tracker.Key, h http.Header, sent, now time.Time) {
+	told := i.tracker.Observe(tracker.Evidence{
+		Key:   k,
+		Start: h.Get(handler.HeaderStart),
+		State: tracker.ParseState(h.Get(handler.HeaderState)),
+		Sent:  sent,
+	}, now)
+	if len(told) == 0 {
+		return
+	}
+	i.tellLeaving(told)
+	i.wake()
+}
+
+// limits returns the bounds of the executor that the settings give.
+func limits(p *resolver.Policy) executor.Limits {
+	l := executor.Limits{
+		Epoch:    defaultEpoch,
+		Keep:     defaultKeep,
+		Forget:   defaultForget,
+		Capacity: executor.DefaultCapacity,
+		Epochs:   executor.DefaultEpochs,
+		Bytes:    executor.DefaultBytes,
+	}
+	if p != nil {
+		l.Epoch, l.Keep, l.Forget = p.Epoch, p.Keep, p.Forget
+	}
+	return l
+}
+
+// The bounds of the executor until the first settings are in force.
+const (
+	defaultEpoch  = 30 * time.Second
+	defaultKeep   = 5 * time.Second
+	defaultForget = 2 * time.Minute
+)
--- /dev/null
+++ b/internal/process/assembler/options.go
@@ -0,0 +1,34 @@
+package assembler
+
+import (
+	"net/http"
+	"net/netip"
+
+	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
+	oteltrace "go.opentelemetry.io/otel/trace"
+)
+
+// Options holds what an instance is told at its start.
+type Options struct {
+	// Address serves callers, Peer the other instances, Admin operators.
+	Address, Peer, Admin netip.AddrPort
+	// Place is the place of the settings tree, Zone the availability zone.
+	Place, Zone string
+	// Platform is the base URL of the platform.
+	Platform string
+	// Seeds are peer addresses to try besides those of the list.
+	Seeds []netip.AddrPort
+	// Keys are shared by all instances; the first one signs.
+	Keys [][]byte
+	// Policy names the way in which targets are chosen.
+	Policy string
+	// Spread makes answers name all instances instead of the homes of a service.
+	Spread bool
+
+	Logger log.Logger
+	Scope  tally.Scope
+	// Page serves the counters.
+	Page   http.Handler
+	Tracer oteltrace.Tracer
+}
--- /dev/null
+++ b/internal/process/assembler/services.go
@@ -0,0 +1,82 @@
+package assembler
+
+import (
+	"maps"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"oriolecourse.example/oriolecourse/internal/process/dispatcher"
+	"oriolecourse.example/oriolecourse/internal/process/prober"
+	"oriolecourse.example/oriolecourse/internal/process/tracker"
+	"oriolecourse.example/oriolecourse/internal/version/resolver"
+)
+
+// service holds the parts of one service.
+type service struct {
+	dispatcher *dispatcher.Dispatcher
+	prober     *prober.Prober
+	// calls counts the requests that this instance has taken.
+	calls atomic.Int64
+}
+
+// services holds the parts by service. Readers load the map without a lock.
+type services struct {
+	zone    string
+	current atomic.Pointer[map[tracker.Service]*service]
+	// mutex orders additions.
+	mutex sync.Mutex
+}
+
+func newServices(zone string) *services {
+	s := &services{zone: zone}
+	s.current.Store(&map[tracker.Service]*service{})
+	return s
+}
+
+// get returns the parts of a service and makes them if there are none.
+func (s *services) get(place, name string, now time.Time) *service {
+	key := tracker.Service{Place: place, Service: name}
+	if found := (*s.current.Load())[key]; found != nil {
+		return found
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	old := *s.current.Load()
+	if found := old[key]; found != nil {
+		return found
+	}
+	d := dispatcher.New(place, name)
+	d.Zone = s.zone
+	made := &service{dispatcher: d, prober: prober.New(prober.Rate{}, prober.Weights{}, now)}
+	grown := maps.Clone(old)
+	grown[key] = made
+	s.current.Store(&grown)
+	return made
+}
+
+// all returns the parts of all services; the map must not be modified.
+func (s *services) all() map[tracker.Service]*service {
+	return *s.current.Load()
+}
+
+// configure hands the settings and the usable targets to the parts of a service.
+func (s *service) configure(p *resolver.Policy, usable []tracker.Target, owned func(netip.AddrPort) bool, now time.Time) {
+	targets := make([]dispatcher.Target, 0, len(usable))
+	for _, t := range usable {
+		targets = append(targets, dispatcher.Target{
+			Address: t.Address,
+			Zone:    t.Zone,
+			Start:   t.Start,
+			Since:   t.Since,
+			Warming: t.State == tracker.Warming,
+			Owned:   owned(t.Address),
+		})
+	}
+	s.dispatcher.Configure(p, targets, now)
+	s.prober.Configure(
+		prober.Rate{Probes: p.Probes, Fleet: p.Fleet, Window: p.Window, Timeout: p.Timeout},
+		prober.Weights{Tail: p.Tail, Cost: p.Cost},
+	)
+}
