--- a/internal/process/assembler/answers.go
+++ b/internal/process/assembler/answers.go
@@ -11,7 +11,7 @@
 )
 
 // answer tells a caller which instances to use for a service.
-func (i *Instance) answer(place, name string, now time.Time) *server.Answer {
+func (i *Instance) answer(place, name string, _ time.Time) *server.Answer {
 	s := i.settings.Current()
 	if s == nil || s.Service(place, name) == nil {
 		return nil
--- a/internal/process/assembler/instance.go
+++ b/internal/process/assembler/instance.go
@@ -63,7 +63,7 @@
 	i.sender = &sender.Sender{DialTimeout: dialTimeout, Opened: i.opened}
 	i.handler = i.newHandler()
 	i.operator = &handler.Operator{Table: i.table, Handler: i.handler, Forward: i.forward}
-	i.settings.Change = func(s *resolver.Snapshot, p adopter.Stamp, now time.Time) { i.adopted("settings", p, now) }
+	i.settings.Change = func(_ *resolver.Snapshot, p adopter.Stamp, now time.Time) { i.adopted("settings", p, now) }
 	i.list.Change = func(l *lister.List, p adopter.Stamp, now time.Time) {
 		i.tracker.List(l, now)
 		i.adopted("list", p, now)
--- a/internal/process/assembler/peers.go
+++ b/internal/process/assembler/peers.go
@@ -5,6 +5,7 @@
 
 	"oriolecourse.example/oriolecourse/internal/process/executor"
 	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
+	"oriolecourse.example/oriolecourse/internal/process/server"
 	"oriolecourse.example/oriolecourse/internal/process/tracker"
 	"oriolecourse.example/oriolecourse/internal/request/handler"
 )
@@ -17,3 +18,9 @@
 func (i *Instance) tellLoss(quarantiner.Rumour) {}
 
 func (i *Instance) tellLeaving([]tracker.Rumour) {}
+
+// peers returns the members that the instance knows.
+func (i *Instance) peers() []server.Peer { return nil }
+
+// cut forbids or allows the exchange with a peer.
+func (i *Instance) cut(string, bool) error { return nil }
--- a/internal/process/assembler/run.go
+++ b/internal/process/assembler/run.go
@@ -27,6 +27,9 @@
 	if err := i.addServer(&g, i.options.Address, i.callers().Router()); err != nil {
 		return trace.Wrap(err)
 	}
+	if err := i.addServer(&g, i.options.Admin, i.admin().Router()); err != nil {
+		return trace.Wrap(err)
+	}
 	g.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
 	err := g.Run()
 	if signal := (run.SignalError{}); errors.As(err, &signal) {
@@ -47,6 +50,18 @@
 	}
 }
 
+// admin returns the interface for operators.
+func (i *Instance) admin() *server.Admin {
+	return &server.Admin{
+		Ready:   func() bool { return i.settings.Current() != nil && i.list.Current() != nil },
+		Page:    i.options.Page,
+		Cost:    i.accounts.Report,
+		Explain: i.explain,
+		Peers:   i.peers,
+		Cut:     i.cut,
+	}
+}
+
 // addLoop adds a part that runs until its done channel is closed.
 func (i *Instance) addLoop(g *run.Group, loop func(done <-chan struct{}) error) {
 	done := make(chan struct{})
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -26,9 +26,11 @@
 func New() *Meter {
 	r := prometheus.NewReporter(prometheus.Options{})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "oriolecourse",
-		CachedReporter: r,
-		Separator:      prometheus.DefaultSeparator,
+		Prefix:                 "oriolecourse",
+		CachedReporter:         r,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
 	}, interval)
 	return &Meter{Scope: scope, Page: r.HTTPHandler(), closer: closer}
 }
--- /dev/null
+++ b/internal/process/server/admin.go
@@ -0,0 +1,65 @@
+package server
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"oriolecourse.example/oriolecourse/internal/process/accountant"
+)
+
+// Peer is a member of the fleet as an instance believes it.
+type Peer struct {
+	Address     string `json:"address"`
+	Peer        string `json:"peer"`
+	Admin       string `json:"admin,omitempty"`
+	Place       string `json:"place"`
+	Zone        string `json:"zone"`
+	Incarnation string `json:"incarnation"`
+	State       string `json:"state"`
+	Leaving     bool   `json:"leaving"`
+}
+
+// Admin serves the operators' interface. All fields are set before the first use.
+type Admin struct {
+	// Ready tells whether the instance takes requests of callers.
+	Ready func() bool
+	// Page serves the counters.
+	Page http.Handler
+	// Cost returns the accounts up to now.
+	Cost func(now time.Time) accountant.Report
+	// Explain returns what the instance believes and why it chose as it did.
+	Explain func(now time.Time) any
+	// Peers returns the members that the instance knows, itself included.
+	Peers func() []Peer
+	// Cut forbids or allows the exchange with a peer address, for tests of partitions.
+	Cut func(address string, cut bool) error
+}
+
+// Router returns the HTTP handler of the interface.
+func (a *Admin) Router() http.Handler {
+	e := echo.New()
+	e.GET("/healthz", a.health)
+	e.GET("/metrics", echo.WrapHandler(a.Page))
+	e.GET("/v1/cost", func(x echo.Context) error { return x.JSON(http.StatusOK, a.Cost(time.Now())) })
+	e.GET("/v1/explain", func(x echo.Context) error { return x.JSON(http.StatusOK, a.Explain(time.Now())) })
+	e.GET("/v1/peers", func(x echo.Context) error { return x.JSON(http.StatusOK, a.Peers()) })
+	e.PUT("/v1/cuts/:address", func(x echo.Context) error { return a.cut(x, true) })
+	e.DELETE("/v1/cuts/:address", func(x echo.Context) error { return a.cut(x, false) })
+	return e
+}
+
+func (a *Admin) health(x echo.Context) error {
+	if a.Ready() {
+		return x.String(http.StatusOK, "ready\n")
+	}
+	return x.String(http.StatusServiceUnavailable, "not ready\n")
+}
+
+func (a *Admin) cut(x echo.Context, cut bool) error {
+	if err := a.Cut(x.Param("address"), cut); err != nil {
+		return x.String(http.StatusBadRequest, err.Error()+"\n")
+	}
+	return x.NoContent(http.StatusNoContent)
+}
