Add the relayer: documents, rumors and forwarded operations between instances

It drives the membership over framed TCP with a bounded pool of connections. Documents are pulled by whoever sees a higher version on a ping, and announced to four members on adoption.

--- a/internal/process/detector/believe.go
+++ b/internal/process/detector/believe.go
@@ -29,7 +29,7 @@
 func (d *Detector) answered(m Member, p *ping, now time.Time) bool {
 	r := d.records[m.Instance.Peer]
 	if r != nil && r.member.Incarnation != m.Incarnation {
-		if d.hasEnded(m) {
+		if d.HasEnded(m.Instance.Peer, m.Incarnation) {
 			return false
 		}
 		if !d.rules.supersedes(p.sent, r.heard) {
@@ -87,7 +87,7 @@
 		d.refute(m)
 		return
 	}
-	if m.Incarnation == 0 || !address.IsValid() || d.hasEnded(m) {
+	if m.Incarnation == 0 || !address.IsValid() || d.HasEnded(m.Instance.Peer, m.Incarnation) {
 		return
 	}
 	if m.State == Ended {
@@ -162,7 +162,7 @@
 
 // end drops an incarnation for good and remembers that it ended.
 func (d *Detector) end(m Member, now time.Time) {
-	if d.hasEnded(m) {
+	if d.HasEnded(m.Instance.Peer, m.Incarnation) {
 		return
 	}
 	d.ended[m.identity()] = now
@@ -176,11 +176,6 @@
 	d.enqueue(m)
 }
 
-func (d *Detector) hasEnded(m Member) bool {
-	_, ended := d.ended[m.identity()]
-	return ended
-}
-
 func (d *Detector) remove(address netip.AddrPort) {
 	delete(d.records, address)
 	if at, found := slices.BinarySearchFunc(d.order, address, netip.AddrPort.Compare); found {
@@ -227,3 +222,9 @@
 		}
 	}
 }
+
+// HasEnded reports whether an incarnation is known to have ended for good.
+func (d *Detector) HasEnded(peer netip.AddrPort, incarnation uint64) bool {
+	_, ended := d.ended[identity{peer: peer, incarnation: incarnation}]
+	return ended
+}
--- a/internal/process/relayer/relayer.go
+++ b/internal/process/relayer/relayer.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -13,21 +16,15 @@
 	"oriolecourse.example/oriolecourse/internal/version/lister"
 )
 
-// Kind names a document that instances hand to each other.
-type Kind uint8
-
-// The documents.
 const (
-	Settings Kind = iota
-	List
-	kindCount
+	// MaxFrame bounds a message in bytes, forwarded operations included.
+	MaxFrame = 16 << 20
+	// peerTimeout bounds dialing a peer, its handshake and one write.
+	peerTimeout = time.Second
+	// fanout is the number of members that news is pushed to at once.
+	fanout = 4
 )
 
-// String returns the name of the document.
-func (k Kind) String() string {
-	return [...]string{"settings", "list"}[k]
-}
-
 // Options holds what a relayer is built from.
 type Options struct {
 	// Self is the instance as the list would publish it.
@@ -40,7 +37,8 @@
 	Seeds []netip.AddrPort
 	// Keys returns the present key set.
 	Keys func() framer.Keys
-	// Period is the time between pings; 0 is DefaultPeriod.
+	// Period is the time between pings; 0 is detector.DefaultPeriod. The timeout
+	// of a ping and the suspicion scale with it.
 	Period time.Duration
 
 	// Documents returns the version, digest and text of the document in force.
@@ -48,15 +46,150 @@
 	// Offer hands over a document that a peer holds; it reports whether it is
 	// now in force.
 	Offer func(kind Kind, text []byte, now time.Time) bool
-	// Rumor is called once for each rumor that other instances spread.
+	// Rumor is called once for each rumor that other instances spread; it must
+	// not block.
 	Rumor func(r Rumor, now time.Time)
-	// Execute runs an operation that was forwarded to this incarnation.
+	// Execute runs an operation that was forwarded to this incarnation. The
+	// context ends when the asking instance gives up or goes away.
 	Execute func(ctx context.Context, o Operation) Outcome
-	// Members is called with the whole membership after each change; it must not block.
+	// Members is called with the whole membership after each change; it must not
+	// block nor call the relayer.
 	Members func(members []detector.Member, changes []detector.Change)
-	// Allow reports whether this instance may talk with an address; nil allows all.
+	// Allow reports whether this instance may talk with an address; nil allows
+	// all. What is not allowed is lost in silence, as in a network partition.
 	Allow func(address netip.AddrPort) bool
 
 	Logger log.Logger
 	Scope  tally.Scope
 }
+
+// Relayer is one instance's connection with the others.
+type Relayer struct {
+	options  Options
+	endpoint framer.Endpoint
+	pool     *pool
+	rumors   *rumors
+	papers   *documents
+	traffic  *traffic
+	started  time.Time
+	// view is the latest membership; it is replaced, never modified.
+	view atomic.Pointer[[]detector.Member]
+
+	// mutex guards the detector and orders calls of Options.Members.
+	mutex    sync.Mutex
+	detector *detector.Detector
+	// kick wakes the driving goroutine when its next deadline may have changed.
+	kick chan struct{}
+
+	// context ends when the relayer stops.
+	context context.Context
+	cancel  context.CancelFunc
+	tasks   tasks
+	done    chan struct{}
+	// handle holds what each kind of message leads to.
+	handle [messageKinds]handler
+}
+
+// New returns a relayer that has not started.
+func New(o Options) *Relayer {
+	if o.Period == 0 {
+		o.Period = detector.DefaultPeriod
+	}
+	if !o.Listen.IsValid() {
+		o.Listen = o.Self.Peer
+	}
+	if o.Allow == nil {
+		o.Allow = func(netip.AddrPort) bool { return true }
+	}
+	if o.Logger == nil {
+		o.Logger = log.NewNopLogger()
+	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	r := &Relayer{
+		options: o,
+		rumors:  newRumors(),
+		traffic: newTraffic(o.Scope),
+		started: time.Now(),
+		kick:    make(chan struct{}, 1),
+		done:    make(chan struct{}),
+	}
+	r.context, r.cancel = context.WithCancel(context.Background())
+	r.endpoint = framer.Endpoint{
+		Identity: framer.Identity{Peer: o.Self.Peer, Incarnation: o.Incarnation},
+		Keys:     o.Keys,
+		Refused:  r.traffic.refuse,
+		MaxFrame: MaxFrame,
+		Timeout:  peerTimeout,
+	}
+	r.handle = r.handlers()
+	r.papers = newDocuments()
+	r.pool = newPool(r)
+	r.detector = detector.New(detectorOptions(o), r.started)
+	r.view.Store(&[]detector.Member{})
+	return r
+}
+
+func detectorOptions(o Options) detector.Options {
+	scale := func(d time.Duration) time.Duration {
+		return time.Duration(float64(d) * float64(o.Period) / float64(detector.DefaultPeriod))
+	}
+	return detector.Options{
+		Self:      detector.Member{Instance: o.Self, Incarnation: o.Incarnation},
+		Seeds:     o.Seeds,
+		Period:    o.Period,
+		Timeout:   scale(detector.DefaultTimeout),
+		Suspicion: scale(detector.DefaultSuspicion),
+		Forget:    detector.DefaultForget,
+		Random:    rand.Uint64,
+	}
+}
+
+// Members returns the other members as last known. The slice is not modified later.
+func (r *Relayer) Members() []detector.Member { return *r.view.Load() }
+
+// Self returns the instance's own member.
+func (r *Relayer) Self() detector.Member {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.detector.Self()
+}
+
+// Seed sets the peers that the published list names.
+func (r *Relayer) Seed(l *lister.List, now time.Time) {
+	var listed []netip.AddrPort
+	for _, i := range l.Instances {
+		listed = append(listed, i.Peer)
+	}
+	r.step(now, func(d *detector.Detector) []detector.Action {
+		d.Seed(listed, now)
+		return nil
+	})
+}
+
+// Leave tells the others that callers must no longer be sent here.
+func (r *Relayer) Leave(now time.Time) {
+	r.step(now, func(d *detector.Detector) []detector.Action { return d.Leave(now) })
+}
+
+// Farewell tells the others that this incarnation ends for good and waits until
+// a few have been told. The relayer is stopped after it.
+func (r *Relayer) Farewell(now time.Time) {
+	r.mutex.Lock()
+	actions := r.detector.Farewell(now)
+	r.mutex.Unlock()
+	told := sync.WaitGroup{}
+	for _, a := range actions {
+		// Those who are not reached hear of it from the others.
+		told.Go(func() { _ = r.sendPacket(a, now) })
+	}
+	told.Wait()
+}
+
+// Ended reports whether an incarnation is known to have ended for good.
+func (r *Relayer) Ended(peer netip.AddrPort, incarnation uint64) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.detector.HasEnded(peer, incarnation)
+}
--- a/internal/process/relayer/rumor.go
+++ b/internal/process/relayer/rumor.go
@@ -20,22 +20,42 @@
 	// Place, Service, Instance and Rate are set. An empty Service is the
 	// instance's own load, where Rate 1 is full. A later one replaces it.
 	Load
+	topicCount
 )
 
+// topics holds the properties of each topic.
+var topics = [topicCount]struct {
+	name string
+	// life is how long a rumor is passed on.
+	life time.Duration
+	// urgent rumors are pushed at each hop; others only travel on pings.
+	urgent bool
+}{
+	Draining: {"draining", time.Minute, true},
+	Loss:     {"loss", 10 * time.Minute, true},
+	Load:     {"load", LoadLife, false},
+}
+
+// LoadLife is how long a Load rumor holds; it is told anew before that.
+const LoadLife = 90 * time.Second
+
 // String returns the name of the topic.
 func (t Topic) String() string {
-	return [...]string{"draining", "loss", "load"}[t]
+	if t >= topicCount {
+		return "other"
+	}
+	return topics[t].name
 }
 
-// Rumor is a small message that reaches every instance once.
+// Rumor is a small message that reaches every instance of its place once.
 type Rumor struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
 	// ID tells rumors apart; Spread sets it.
 	ID    uint64
 	Topic Topic
-	Place string
-	// Service is the service that the rumor is about.
+	// Place bounds the spread; the empty place is the whole fleet.
+	Place   string
 	Service string
 	Target  netip.AddrPort
 	// Start names the run of the target's process.
@@ -44,6 +64,7 @@
 	// Instance is the peer address of the instance that the load is about.
 	Instance netip.AddrPort
 	Rate     float64
-	// Left is the time until the rumor expires, counted down at each hop.
+	// Left is the time until the rumor expires, counted down at each hop. Spread
+	// sets it when it is 0.
 	Left time.Duration
 }
