--- a/internal/standin/commander/load.go
+++ b/internal/standin/commander/load.go
@@ -22,6 +22,8 @@
 	settings  loader.Settings
 	instances []string
 	mixes     []string
+	admins    []string
+	labels    map[string]string
 	out       string
 }
 
@@ -54,26 +56,24 @@
 	f.DurationVar(&s.Burst.Every, "burst-every", 0, "time between bursts; 0 for none")
 	f.DurationVar(&s.Burst.Length, "burst-length", 200*time.Millisecond, "length of a burst")
 	f.Float64Var(&s.Burst.Factor, "burst-factor", 3, "factor of the rate in a burst")
+	f.BoolVar(&s.Direct, "direct", false, "send to targets; --instances holds their addresses")
+	f.TextVar(&s.Meter.Recorder, "recorder", netip.AddrPort{}, "ip:port of the recorder to read totals from")
+	f.TextVar(&s.Meter.Platform, "platform", netip.AddrPort{}, "ip:port of the platform to read totals from")
+	f.StringSliceVar(&l.admins, "admins", nil, "admin ip:port of the instances to read costs from")
+	f.StringToStringVar(&l.labels, "label", nil, "name=value pairs for the result")
 	f.StringVar(&l.out, "out", "", "file that receives the result as JSON")
 }
 
 // run sends the load.
 func (l *loadFlags) run(c *cobra.Command) error {
-	for _, text := range l.instances {
-		address, err := netip.ParseAddrPort(text)
-		if err != nil {
-			return trace.Wrap(err, "--instances")
-		}
-		l.settings.Instances = append(l.settings.Instances, address)
+	if err := l.parse(); err != nil {
+		return err
 	}
-	for _, text := range l.mixes {
-		m, err := loader.ParseMix(text)
-		if err != nil {
-			return err
-		}
-		l.settings.Mixes = append(l.settings.Mixes, m)
+	result, err := loader.Run(c.Context(), l.settings)
+	if err != nil {
+		return err
 	}
-	result := loader.Run(c.Context(), l.settings)
+	result.Labels = l.labels
 	text, err := json.Marshal(result)
 	if err != nil {
 		return trace.Wrap(err)
@@ -85,6 +85,38 @@
 	return trace.Wrap(os.WriteFile(l.out, text, 0o600))
 }
 
+// parse reads the flags that are lists.
+func (l *loadFlags) parse() error {
+	var err error
+	if l.settings.Instances, err = addresses(l.instances); err != nil {
+		return trace.Wrap(err, "--instances")
+	}
+	if l.settings.Meter.Admins, err = addresses(l.admins); err != nil {
+		return trace.Wrap(err, "--admins")
+	}
+	for _, text := range l.mixes {
+		m, err := loader.ParseMix(text)
+		if err != nil {
+			return err
+		}
+		l.settings.Mixes = append(l.settings.Mixes, m)
+	}
+	return nil
+}
+
+// addresses parses a list of ip:port.
+func addresses(texts []string) ([]netip.AddrPort, error) {
+	var parsed []netip.AddrPort
+	for _, text := range texts {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		parsed = append(parsed, address)
+	}
+	return parsed, nil
+}
+
 // judgeCommand compares results with the record.
 func judgeCommand() *cobra.Command {
 	var record string
--- a/internal/standin/commander/servers.go
+++ b/internal/standin/commander/servers.go
@@ -40,6 +40,7 @@
 // recorderCommand runs the recorder.
 func recorderCommand() *cobra.Command {
 	var at place
+	var brief bool
 	c := &cobra.Command{
 		Use:   "recorder",
 		Short: "Keep what the targets ran, also those that are killed",
@@ -50,11 +51,12 @@
 				return err
 			}
 			router := listener.Router()
-			(&recorder.Book{}).Register(router)
+			(&recorder.Book{Brief: brief}).Register(router)
 			return l.Serve(c.Context(), router, c.ErrOrStderr())
 		},
 	}
 	at.bind(c.Flags())
+	c.Flags().BoolVar(&brief, "brief", false, "keep the totals only")
 	return c
 }
 
--- a/internal/standin/loader/attempt.go
+++ b/internal/standin/loader/attempt.go
@@ -40,14 +40,17 @@
 		a.Outcome, a.Problem = Unknown, err.Error()
 		return a
 	}
-	return classify(m, a, reply, body)
+	return classify(m, a, c.settings.Direct, reply, body)
 }
 
 // request builds the HTTP request of an attempt. The method is POST, since
 // net/http sends a GET again by itself when a connection breaks, and a hidden
 // second sending would not be an attempt of its own in the result.
-func (*caller) request(ctx context.Context, m Mix, a Attempt, address netip.AddrPort) (*http.Request, error) {
+func (c *caller) request(ctx context.Context, m Mix, a Attempt, address netip.AddrPort) (*http.Request, error) {
 	url := "http://" + address.String() + "/s/" + m.Service + "/" + m.Kind + "/item"
+	if c.settings.Direct {
+		url = "http://" + address.String() + "/" + m.Kind + "/item"
+	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, http.NoBody)
 	if err != nil {
 		return nil, err
@@ -61,12 +64,15 @@
 }
 
 // classify reads the outcome from a whole answer and checks its body.
-func classify(m Mix, a Attempt, reply *http.Response, body []byte) Attempt {
+func classify(m Mix, a Attempt, direct bool, reply *http.Response, body []byte) Attempt {
 	header := reply.Header
 	a.Outcome = Outcome(header.Get("Oriole-Outcome"))
 	a.Final = header.Get("Oriole-Final") == "true"
 	a.Retry, _ = time.ParseDuration(header.Get("Oriole-Retry"))
 	a.executor = header.Get("Oriole-Executor")
+	if direct && a.Status == http.StatusOK {
+		a.Outcome = Done
+	}
 	if a.Outcome != Done && a.Outcome != Unrun && a.Outcome != Unknown {
 		a.Problem = "the answer names no outcome: " + string(a.Outcome)
 		a.Outcome = Unknown
--- a/internal/standin/loader/caller.go
+++ b/internal/standin/loader/caller.go
@@ -75,7 +75,7 @@
 
 // addresses returns the answer to use now and renews it when it grows old.
 func (c *caller) addresses(ctx context.Context, k key, now time.Time) (*answer, error) {
-	if c.settings.Spread {
+	if c.settings.Spread || c.settings.Direct {
 		return &answer{Addresses: c.shuffled(nil)}, nil
 	}
 	c.mu.Lock()
--- a/internal/standin/loader/loader.go
+++ b/internal/standin/loader/loader.go
@@ -15,7 +15,11 @@
 const backoff = 20 * time.Millisecond
 
 // Run sends the whole load and returns when every request has ended.
-func Run(ctx context.Context, s Settings) *Result {
+func Run(ctx context.Context, s Settings) (*Result, error) {
+	before, err := s.Meter.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
 	asked := &atomic.Int64{}
 	callers := make([]*caller, s.Callers)
 	for i := range callers {
@@ -37,7 +41,14 @@
 		})
 	}
 	running.Wait()
-	return &Result{Seed: s.Seed, Duration: s.Duration, Asked: asked.Load(), Requests: done.requests}
+	after, err := s.Meter.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &Result{
+		Seed: s.Seed, Begin: begin, Duration: s.Duration, Asked: asked.Load(),
+		Usage: after.Since(before), Requests: done.requests,
+	}, nil
 }
 
 // generate calls start at the seeded times of one mix.
--- a/internal/standin/loader/loader_test.go
+++ b/internal/standin/loader/loader_test.go
@@ -148,7 +148,14 @@
 		Instances: []netip.AddrPort{address(i.Server)}, Mixes: []Mix{{Service: "s", Kind: "k", Rate: 500}},
 		Duration: 100 * time.Millisecond, Seed: 1, Callers: 2, Attempts: 2, Patience: 20 * time.Second,
 	}
-	one, same := Run(t.Context(), s), Run(t.Context(), s)
+	one, err := Run(t.Context(), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	same, err := Run(t.Context(), s)
+	if err != nil {
+		t.Fatal(err)
+	}
 	if len(one.Requests) == 0 || len(one.Requests) != len(same.Requests) {
 		t.Errorf("%d and %d requests from one seed", len(one.Requests), len(same.Requests))
 	}
--- a/internal/standin/loader/result.go
+++ b/internal/standin/loader/result.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"oriolecourse.example/oriolecourse/internal/standin/meter"
 )
 
 // Outcome is the end of an attempt or of a request.
@@ -65,7 +67,12 @@
 // Result is the outcome of a whole load.
 type Result struct {
 	Seed     int64         `json:"seed"`
+	Begin    time.Time     `json:"begin"`
 	Duration time.Duration `json:"duration"`
+	// Labels tell what the load was for.
+	Labels map[string]string `json:"labels,omitempty"`
+	// Usage is what the load cost.
+	Usage meter.Usage `json:"usage"`
 	// Asked counts the questions for addresses.
 	Asked    int64     `json:"asked"`
 	Requests []Request `json:"requests"`
--- a/internal/standin/loader/settings.go
+++ b/internal/standin/loader/settings.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"oriolecourse.example/oriolecourse/internal/standin/meter"
 )
 
 // Settings describe one load.
@@ -30,6 +32,11 @@
 	Spread bool
 	// Burst raises the rate now and then.
 	Burst Burst
+	// Direct sends requests straight to targets, whose addresses Instances
+	// holds then.
+	Direct bool
+	// Meter reads the costs before and after the load.
+	Meter meter.Meter
 }
 
 // Mix is the load of one kind.
--- a/internal/standin/recorder/event.go
+++ b/internal/standin/recorder/event.go
@@ -39,9 +39,20 @@
 	Cause string `json:"cause,omitempty"`
 }
 
+// Counts are the totals of a record.
+type Counts struct {
+	// Runs counts the runs that began, Probes the probes that arrived.
+	Runs   int64 `json:"runs"`
+	Probes int64 `json:"probes"`
+}
+
 // Book is a record in memory. The zero value is empty.
 type Book struct {
+	// Brief keeps the totals only.
+	Brief bool
+
 	mu     sync.Mutex
+	counts Counts
 	events []Event
 }
 
@@ -49,7 +60,22 @@
 func (b *Book) Add(e Event) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.events = append(b.events, e)
+	switch e.Type {
+	case Begin:
+		b.counts.Runs++
+	case Probe:
+		b.counts.Probes++
+	}
+	if !b.Brief {
+		b.events = append(b.events, e)
+	}
+}
+
+// Counts returns the totals so far.
+func (b *Book) Counts() Counts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.counts
 }
 
 // Events returns the events so far. The slice is not modified later.
--- a/internal/standin/recorder/stream.go
+++ b/internal/standin/recorder/stream.go
@@ -61,8 +61,9 @@
 func (s *Stream) Close() error { return trace.Wrap(s.conn.Close()) }
 
 // Register adds the recorder's routes: POST /events takes streams, GET /record
-// gives all events as JSON lines.
+// gives all events as JSON lines, GET /counts the totals.
 func (b *Book) Register(e *echo.Echo) {
+	e.GET("/counts", func(c echo.Context) error { return c.JSON(http.StatusOK, b.Counts()) })
 	e.POST("/events", b.receive)
 	e.GET("/record", b.dump)
 }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -56,7 +56,8 @@
 	settings Settings
 	start    string
 	began    time.Time
-	book     *recorder.Book
+	// book keeps totals only when a recorder keeps the events.
+	book *recorder.Book
 	// stream is nil without a recorder.
 	stream *recorder.Stream
 	// exit ends the process.
@@ -82,7 +83,7 @@
 		settings:  s,
 		start:     hex.EncodeToString(token),
 		began:     now,
-		book:      &recorder.Book{},
+		book:      &recorder.Book{Brief: stream != nil},
 		stream:    stream,
 		exit:      exit,
 		slots:     make(chan struct{}, s.Slots),
