--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -36,9 +36,10 @@
 end_all() {
   local name
   for name in "${!PIDS[@]}"; do
+    disown "${PIDS[$name]}"
     kill -s KILL "${PIDS[$name]}" 2>/dev/null || true
   done
-  wait
+  wait 2>/dev/null
   PIDS=()
 }
 
