--- a/internal/standin/commander/load.go
+++ b/internal/standin/commander/load.go
@@ -57,8 +57,8 @@
 	f.DurationVar(&s.Burst.Length, "burst-length", 200*time.Millisecond, "length of a burst")
 	f.Float64Var(&s.Burst.Factor, "burst-factor", 3, "factor of the rate in a burst")
 	f.BoolVar(&s.Direct, "direct", false, "send to targets; --instances holds their addresses")
-	f.TextVar(&s.Meter.Recorder, "recorder", netip.AddrPort{}, "ip:port of the recorder to read totals from")
-	f.TextVar(&s.Meter.Platform, "platform", netip.AddrPort{}, "ip:port of the platform to read totals from")
+	f.TextVar(&s.Sampler.Recorder, "recorder", netip.AddrPort{}, "ip:port of the recorder to read totals from")
+	f.TextVar(&s.Sampler.Platform, "platform", netip.AddrPort{}, "ip:port of the platform to read totals from")
 	f.StringSliceVar(&l.admins, "admins", nil, "admin ip:port of the instances to read costs from")
 	f.StringToStringVar(&l.labels, "label", nil, "name=value pairs for the result")
 	f.StringVar(&l.out, "out", "", "file that receives the result as JSON")
@@ -91,7 +91,7 @@
 	if l.settings.Instances, err = addresses(l.instances); err != nil {
 		return trace.Wrap(err, "--instances")
 	}
-	if l.settings.Meter.Admins, err = addresses(l.admins); err != nil {
+	if l.settings.Sampler.Admins, err = addresses(l.admins); err != nil {
 		return trace.Wrap(err, "--admins")
 	}
 	for _, text := range l.mixes {
--- a/internal/standin/loader/loader.go
+++ b/internal/standin/loader/loader.go
@@ -16,7 +16,7 @@
 
 // Run sends the whole load and returns when every request has ended.
 func Run(ctx context.Context, s Settings) (*Result, error) {
-	before, err := s.Meter.Read(ctx)
+	before, err := s.Sampler.Read(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -41,7 +41,7 @@
 		})
 	}
 	running.Wait()
-	after, err := s.Meter.Read(ctx)
+	after, err := s.Sampler.Read(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/loader/result.go
+++ b/internal/standin/loader/result.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"oriolecourse.example/oriolecourse/internal/standin/meter"
+	"oriolecourse.example/oriolecourse/internal/standin/sampler"
 )
 
 // Outcome is the end of an attempt or of a request.
@@ -72,7 +72,7 @@
 	// Labels tell what the load was for.
 	Labels map[string]string `json:"labels,omitempty"`
 	// Usage is what the load cost.
-	Usage meter.Usage `json:"usage"`
+	Usage sampler.Usage `json:"usage"`
 	// Asked counts the questions for addresses.
 	Asked    int64     `json:"asked"`
 	Requests []Request `json:"requests"`
--- a/internal/standin/loader/settings.go
+++ b/internal/standin/loader/settings.go
@@ -8,7 +8,7 @@
 
 	"github.com/gravitational/trace"
 
-	"oriolecourse.example/oriolecourse/internal/standin/meter"
+	"oriolecourse.example/oriolecourse/internal/standin/sampler"
 )
 
 // Settings describe one load.
@@ -35,8 +35,8 @@
 	// Direct sends requests straight to targets, whose addresses Instances
 	// holds then.
 	Direct bool
-	// Meter reads the costs before and after the load.
-	Meter meter.Meter
+	// Sampler reads the costs before and after the load.
+	Sampler sampler.Sampler
 }
 
 // Mix is the load of one kind.
--- a/internal/standin/meter/meter.go
+++ b/internal/standin/sampler/sampler.go
@@ -1,4 +1,4 @@
-package meter
+package sampler
 
 import (
 	"context"
@@ -17,8 +17,8 @@
 // readTimeout bounds one reading.
 const readTimeout = 5 * time.Second
 
-// Meter names the processes to read. Invalid addresses are left out.
-type Meter struct {
+// Sampler names the processes to read. Invalid addresses are left out.
+type Sampler struct {
 	Recorder, Platform netip.AddrPort
 	// Admins are the admin addresses of the instances.
 	Admins []netip.AddrPort
@@ -44,19 +44,19 @@
 }
 
 // Read returns the totals so far.
-func (m Meter) Read(ctx context.Context) (Usage, error) {
-	u := Usage{Instances: int64(len(m.Admins))}
+func (s Sampler) Read(ctx context.Context) (Usage, error) {
+	u := Usage{Instances: int64(len(s.Admins))}
 	var counts recorder.Counts
-	if err := get(ctx, m.Recorder, "/counts", &counts); err != nil {
+	if err := get(ctx, s.Recorder, "/counts", &counts); err != nil {
 		return u, err
 	}
 	u.Runs, u.Probes = counts.Runs, counts.Probes
 	var calls publisher.Calls
-	if err := get(ctx, m.Platform, "/admin/calls", &calls); err != nil {
+	if err := get(ctx, s.Platform, "/admin/calls", &calls); err != nil {
 		return u, err
 	}
 	u.Calls = int64(calls.Total)
-	for _, admin := range m.Admins {
+	for _, admin := range s.Admins {
 		var r accountant.Report
 		if err := get(ctx, admin, "/v1/cost", &r); err != nil {
 			return u, err
