Probe targets about which traffic tells nothing, within the budget

Cause: ejected, cold and suspected targets had no way back but traffic. Ruled out: probing from every instance; only owners of a target ask, since others send it next to nothing and would spend the budget for it.

--- a/internal/process/assembler/run.go
+++ b/internal/process/assembler/run.go
@@ -24,6 +24,7 @@
 	var g run.Group
 	i.addLoop(&g, i.refresh)
 	i.addLoop(&g, i.poll)
+	i.addLoop(&g, i.probe)
 	if err := i.addServer(&g, i.options.Address, i.callers().Router()); err != nil {
 		return trace.Wrap(err)
 	}
