--- a/internal/process/commander/commander.go
+++ b/internal/process/commander/commander.go
@@ -37,7 +37,7 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	c.AddCommand(newServe(), newAsk(), newVersion())
+	c.AddCommand(newServe(), newAsk(), newCallers(), newVersion())
 	return c
 }
 
--- a/internal/request/handler/outcome.go
+++ b/internal/request/handler/outcome.go
@@ -40,8 +40,9 @@
 	CauseCancelled  Cause = "cancelled"
 )
 
-// record describes one cause to callers.
-type record struct {
+// Record describes one cause to callers.
+type Record struct {
+	Cause Cause
 	// Status is the HTTP status of the answer.
 	Status int
 	// Text says what happened.
@@ -58,22 +59,33 @@
 	retryLate = time.Second
 )
 
-// records holds one record for each cause.
-var records = map[Cause]record{
-	CauseBusy:       {Status: http.StatusTooManyRequests, Text: "no room for the request", Retry: retrySoon},
-	CauseTargets:    {Status: http.StatusServiceUnavailable, Text: "no target can take the request", Retry: retryLate},
-	CauseDeadline:   {Status: http.StatusGatewayTimeout, Text: "the deadline has passed or cannot be met", Retry: retrySoon},
-	CauseBroken:     {Status: http.StatusBadGateway, Text: "the target broke off", Retry: retrySoon},
-	CauseName:       {Status: http.StatusNotFound, Text: "the settings have no such service or kind", Final: true},
-	CauseSize:       {Status: http.StatusRequestEntityTooLarge, Text: "the body is larger than the settings allow", Final: true},
-	CauseOperation:  {Status: http.StatusConflict, Text: "the kind needs a valid operation id of an open epoch; use the executor given here", Retry: retrySoon},
-	CauseForgotten:  {Status: http.StatusConflict, Text: "the epoch of the operation is over; it will not run again", Final: true},
-	CauseGone:       {Status: http.StatusConflict, Text: "the executor of the operation is gone; it will not run again", Final: true},
-	CauseMismatch:   {Status: http.StatusConflict, Text: "the operation id belongs to another request", Final: true},
-	CauseDropped:    {Status: http.StatusConflict, Text: "the operation has run; its answer is no longer kept", Final: true},
-	CauseUnreached:  {Status: http.StatusBadGateway, Text: "the executor of the operation is out of reach", Retry: retryLate},
-	CauseQuarantine: {Status: http.StatusUnprocessableEntity, Text: "the request broke the targets that ran it", Final: true},
-	CauseCancelled:  {Status: http.StatusGatewayTimeout, Text: "the caller went away", Retry: retrySoon},
+// Records describes all causes.
+var Records = []Record{
+	{Cause: CauseBusy, Status: http.StatusTooManyRequests, Text: "no room for the request", Retry: retrySoon},
+	{Cause: CauseTargets, Status: http.StatusServiceUnavailable, Text: "no target can take the request", Retry: retryLate},
+	{Cause: CauseDeadline, Status: http.StatusGatewayTimeout, Text: "the deadline has passed or cannot be met", Retry: retrySoon},
+	{Cause: CauseBroken, Status: http.StatusBadGateway, Text: "the target broke off", Retry: retrySoon},
+	{Cause: CauseName, Status: http.StatusNotFound, Text: "the settings have no such service or kind", Final: true},
+	{Cause: CauseSize, Status: http.StatusRequestEntityTooLarge, Text: "the body is larger than the settings allow", Final: true},
+	{Cause: CauseOperation, Status: http.StatusConflict, Text: "the kind needs a valid operation id of an open epoch; use the executor given here", Retry: retrySoon},
+	{Cause: CauseForgotten, Status: http.StatusConflict, Text: "the epoch of the operation is over; it will not run again", Final: true},
+	{Cause: CauseGone, Status: http.StatusConflict, Text: "the executor of the operation is gone; it will not run again", Final: true},
+	{Cause: CauseMismatch, Status: http.StatusConflict, Text: "the operation id belongs to another request", Final: true},
+	{Cause: CauseDropped, Status: http.StatusConflict, Text: "the operation has run; its answer is no longer kept", Final: true},
+	{Cause: CauseUnreached, Status: http.StatusBadGateway, Text: "the executor of the operation is out of reach", Retry: retryLate},
+	{Cause: CauseQuarantine, Status: http.StatusUnprocessableEntity, Text: "the request broke the targets that ran it", Final: true},
+	{Cause: CauseCancelled, Status: http.StatusGatewayTimeout, Text: "the caller went away", Retry: retrySoon},
+}
+
+// records holds the records by cause.
+var records = byCause(Records)
+
+func byCause(list []Record) map[Cause]Record {
+	found := make(map[Cause]Record, len(list))
+	for _, r := range list {
+		found[r.Cause] = r
+	}
+	return found
 }
 
 // Outcome is the final answer to one request.
