Join the instances: membership, documents, rumors, forwarded operations, shutdown

Cause: instances did not know each other. The relayer now carries documents, rumors and operations; a starting instance asks its peers before it serves; a leaving one is announced, serves until kept answers have run out, and finishes what is in flight.

Ruled out: stopping the listener first. Callers keep answers, so an instance that stops listening at once breaks their connections.

--- a/internal/process/assembler/instance.go
+++ b/internal/process/assembler/instance.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"oriolecourse.example/oriolecourse/internal/process/adopter"
 	"oriolecourse.example/oriolecourse/internal/process/executor"
 	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
+	"oriolecourse.example/oriolecourse/internal/process/relayer"
 	"oriolecourse.example/oriolecourse/internal/process/tracker"
 	"oriolecourse.example/oriolecourse/internal/request/handler"
 	"oriolecourse.example/oriolecourse/internal/version/lister"
@@ -35,10 +37,15 @@
 	table      *executor.Table
 	quarantine *quarantiner.Table
 	accounts   *accountant.Accountant
+	relayer    *relayer.Relayer
 	sender     *sender.Sender
 	handler    *handler.Handler
 	operator   *handler.Operator
 
+	// ready is set when callers are served, leaving when the instance will stop.
+	ready, leaving atomic.Bool
+	// cuts holds the peers with which the exchange is forbidden.
+	cuts sync.Map
 	// homes names the service of each target in use.
 	homes atomic.Pointer[map[netip.AddrPort]tracker.Service]
 	// changed wakes the refresher; it has room for one signal.
@@ -60,12 +67,14 @@
 		changed:     make(chan struct{}, 1),
 	}
 	i.table = executor.New(o.Peer, i.incarnation, limits(nil), now)
+	i.relayer = i.newRelayer()
 	i.sender = &sender.Sender{DialTimeout: dialTimeout, Opened: i.opened}
 	i.handler = i.newHandler()
 	i.operator = &handler.Operator{Table: i.table, Handler: i.handler, Forward: i.forward}
 	i.settings.Change = func(_ *resolver.Snapshot, p adopter.Stamp, now time.Time) { i.adopted("settings", p, now) }
 	i.list.Change = func(l *lister.List, p adopter.Stamp, now time.Time) {
-		i.tracker.List(l, now)
+		i.tellLeaving(i.tracker.List(l, now))
+		i.relayer.Seed(l, now)
 		i.adopted("list", p, now)
 	}
 	return i
@@ -88,6 +97,7 @@
 // adopted logs a new document and has it put into force.
 func (i *Instance) adopted(kind string, p adopter.Stamp, _ time.Time) {
 	i.options.Scope.Tagged(map[string]string{"document": kind}).Counter("adopted").Inc(1)
+	i.relayer.Announce()
 	_ = i.options.Logger.Log("event", "adopted", "document", kind, "version", p.Version, "digest", p.Digest)
 	i.wake()
 }
--- a/internal/process/assembler/options.go
+++ b/internal/process/assembler/options.go
@@ -7,6 +7,8 @@
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 	oteltrace "go.opentelemetry.io/otel/trace"
+
+	"oriolecourse.example/oriolecourse/internal/connection/framer"
 )
 
 // Options holds what an instance is told at its start.
@@ -20,7 +22,7 @@
 	// Seeds are peer addresses to try besides those of the list.
 	Seeds []netip.AddrPort
 	// Keys are shared by all instances; the first one signs.
-	Keys [][]byte
+	Keys framer.Keys
 	// Policy names the way in which targets are chosen.
 	Policy string
 	// Spread makes answers name all instances instead of the homes of a service.
--- a/internal/process/assembler/peers.go
+++ b/internal/process/assembler/peers.go
@@ -2,25 +2,167 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
 
+	"github.com/gravitational/trace"
+
+	"oriolecourse.example/oriolecourse/internal/connection/framer"
+	"oriolecourse.example/oriolecourse/internal/process/adopter"
+	"oriolecourse.example/oriolecourse/internal/process/detector"
 	"oriolecourse.example/oriolecourse/internal/process/executor"
-	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
+	"oriolecourse.example/oriolecourse/internal/process/relayer"
 	"oriolecourse.example/oriolecourse/internal/process/server"
-	"oriolecourse.example/oriolecourse/internal/process/tracker"
 	"oriolecourse.example/oriolecourse/internal/request/handler"
+	"oriolecourse.example/oriolecourse/internal/version/lister"
 )
 
-// forward passes an operation to its executor.
-func (i *Instance) forward(_ context.Context, _ executor.Token, _ *handler.Request) *handler.Outcome {
+// pathToken asks an instance for its executor's token.
+const pathToken = "/v1/token"
+
+// self returns the instance as the list would publish it.
+func (o *Options) self() lister.Instance {
+	return lister.Instance{Address: o.Address, Peer: o.Peer, Place: o.Place, Zone: o.Zone, State: lister.Live}
+}
+
+func (i *Instance) newRelayer() *relayer.Relayer {
+	return relayer.New(relayer.Options{
+		Self:        i.options.self(),
+		Incarnation: i.incarnation,
+		Seeds:       i.options.Seeds,
+		Keys:        func() framer.Keys { return i.options.Keys },
+		Documents:   i.documents,
+		Offer:       i.offer,
+		Rumor:       i.hear,
+		Execute:     i.execute,
+		Members:     i.members,
+		Allow:       i.allowed,
+		Logger:      i.options.Logger,
+		Scope:       i.options.Scope,
+	})
+}
+
+// documents returns what peers may pull.
+func (i *Instance) documents(k relayer.Kind) (version, digest uint64, text []byte) {
+	if k == relayer.Settings {
+		text, stamp := i.settings.Text()
+		return stamp.Version, stamp.Digest, text
+	}
+	text, stamp := i.list.Text()
+	return stamp.Version, stamp.Digest, text
+}
+
+// offer takes a document that a peer or the platform holds and reports whether
+// it has come into force.
+func (i *Instance) offer(k relayer.Kind, text []byte, now time.Time) bool {
+	if k == relayer.Settings {
+		return i.settings.Offer(text, 0, 0, now) == adopter.Accepted
+	}
+	return i.list.Offer(text, 0, 0, now) == adopter.Accepted
+}
+
+// members reacts to a change of the fleet.
+func (i *Instance) members(_ []detector.Member, changes []detector.Change) {
+	for _, c := range changes {
+		_ = i.options.Logger.Log("event", "member", "peer", c.Member.Instance.Peer,
+			"incarnation", strconv.FormatUint(c.Member.Incarnation, 16),
+			"state", c.Member.State, "leaving", c.Member.Leaving)
+	}
+	i.wake()
+}
+
+// execute runs an operation that another instance has passed on.
+func (i *Instance) execute(ctx context.Context, o relayer.Operation) relayer.Outcome {
+	if o.Path == pathToken {
+		return i.token(time.Now())
+	}
+	m := i.run(ctx, o, time.Now()).Message()
+	return relayer.Outcome{Status: m.Status, Header: m.Header, Body: m.Body}
+}
+
+func (i *Instance) run(ctx context.Context, o relayer.Operation, now time.Time) *handler.Outcome {
+	service, kind, path := handler.Route(o.Path)
+	p := i.settings.Current().Policy(i.options.Place, service, kind)
+	if p == nil {
+		return handler.Refuse(handler.CauseName, 0)
+	}
+	r := handler.NewRequest(p, o.Method, path, o.Header, o.Body, now)
+	if o.Left > 0 && now.Add(o.Left).Before(r.Deadline) {
+		r.Deadline = now.Add(o.Left)
+	}
+	return i.Handle(ctx, r)
+}
+
+// token answers with a token of the executor, if it has one.
+func (i *Instance) token(now time.Time) relayer.Outcome {
+	h := http.Header{}
+	if t, ok := i.table.Token(now); ok {
+		h.Set(handler.HeaderExecutor, t.String())
+	}
+	return relayer.Outcome{Status: http.StatusOK, Header: h}
+}
+
+// forward passes an operation to its executor and returns the executor's answer.
+func (i *Instance) forward(ctx context.Context, to executor.Token, r *handler.Request) *handler.Outcome {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	a, err := i.relayer.Forward(ctx, to.Peer, relayer.Operation{
+		Incarnation: to.Incarnation,
+		Method:      r.Method,
+		Path:        handler.RequestPrefix + r.Policy.Service + r.Path,
+		Header:      r.Header,
+		Body:        r.Body,
+	})
+	if err == nil {
+		return handler.Read(handler.Message{Status: a.Status, Header: a.Header, Body: a.Body})
+	}
+	var failure *relayer.ForwardError
+	if errors.As(err, &failure) && failure.Failure == relayer.Replaced {
+		return handler.Doubt(handler.CauseGone, 0)
+	}
 	return handler.Doubt(handler.CauseUnreached, 0)
 }
 
-func (i *Instance) tellLoss(quarantiner.Rumour) {}
+// peers returns the members that the instance knows, itself first.
+func (i *Instance) peers() []server.Peer {
+	found := []server.Peer{peer(i.relayer.Self())}
+	for _, m := range i.relayer.Members() {
+		found = append(found, peer(m))
+	}
+	return found
+}
 
-func (i *Instance) tellLeaving([]tracker.Rumour) {}
+func peer(m detector.Member) server.Peer {
+	return server.Peer{
+		Address:     m.Instance.Address.String(),
+		Peer:        m.Instance.Peer.String(),
+		Place:       m.Instance.Place,
+		Zone:        m.Instance.Zone,
+		Incarnation: strconv.FormatUint(m.Incarnation, 16),
+		State:       m.State.String(),
+		Leaving:     m.Leaving,
+	}
+}
 
-// peers returns the members that the instance knows.
-func (i *Instance) peers() []server.Peer { return nil }
+// allowed tells whether the exchange with a peer has not been cut.
+func (i *Instance) allowed(address netip.AddrPort) bool {
+	_, cut := i.cuts.Load(address)
+	return !cut
+}
 
 // cut forbids or allows the exchange with a peer.
-func (i *Instance) cut(string, bool) error { return nil }
+func (i *Instance) cut(text string, cut bool) error {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return trace.BadParameter("%q is not an address and port", text)
+	}
+	if cut {
+		i.cuts.Store(address, struct{}{})
+	} else {
+		i.cuts.Delete(address)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/assembler/rumors.go
@@ -0,0 +1,58 @@
+package assembler
+
+import (
+	"time"
+
+	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
+	"oriolecourse.example/oriolecourse/internal/process/relayer"
+	"oriolecourse.example/oriolecourse/internal/process/tracker"
+)
+
+// rumorLife is how long a rumor is passed on; its age is told from what is left.
+const rumorLife = time.Minute
+
+// hear takes in what a peer told.
+func (i *Instance) hear(r relayer.Rumor, now time.Time) {
+	age := max(rumorLife-r.Left, 0)
+	switch r.Topic {
+	case relayer.Draining:
+		key := tracker.Key{Place: r.Place, Service: r.Service, Address: r.Target}
+		if i.tracker.Hear(tracker.Rumour{Key: key, Start: r.Start, Age: age}, now) {
+			i.wake()
+		}
+	case relayer.Loss:
+		i.quarantine.Hear(quarantiner.Rumour{
+			Service:     quarantiner.Service{Place: r.Place, Service: r.Service},
+			Fingerprint: quarantiner.Fingerprint(r.Fingerprint),
+			Run:         quarantiner.Run{Address: r.Target, Start: r.Start},
+			Age:         age,
+		}, now)
+	}
+}
+
+// tellLoss spreads the loss of a request.
+func (i *Instance) tellLoss(u quarantiner.Rumour) {
+	i.relayer.Spread(relayer.Rumor{
+		Topic:       relayer.Loss,
+		Place:       u.Service.Place,
+		Service:     u.Service.Service,
+		Target:      u.Run.Address,
+		Start:       u.Run.Start,
+		Fingerprint: uint64(u.Fingerprint),
+		Left:        rumorLife,
+	}, time.Now())
+}
+
+// tellLeaving spreads that runs of targets are leaving.
+func (i *Instance) tellLeaving(told []tracker.Rumour) {
+	for _, u := range told {
+		i.relayer.Spread(relayer.Rumor{
+			Topic:   relayer.Draining,
+			Place:   u.Key.Place,
+			Service: u.Key.Service,
+			Target:  u.Key.Address,
+			Start:   u.Start,
+			Left:    rumorLife - u.Age,
+		}, time.Now())
+	}
+}
--- a/internal/process/assembler/run.go
+++ b/internal/process/assembler/run.go
@@ -1,14 +1,9 @@
 package assembler
 
 import (
-	"context"
-	"errors"
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
-	"syscall"
-	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
@@ -16,27 +11,19 @@
 	"oriolecourse.example/oriolecourse/internal/process/server"
 )
 
-// headerTimeout bounds the reading of a request's header.
-const headerTimeout = 10 * time.Second
-
 // Run runs the instance until it has left the fleet or a part has failed.
 func (i *Instance) Run() error {
 	var g run.Group
 	i.addLoop(&g, i.refresh)
-	i.addLoop(&g, i.poll)
 	i.addLoop(&g, i.probe)
-	if err := i.addServer(&g, i.options.Address, i.callers().Router()); err != nil {
-		return trace.Wrap(err)
-	}
-	if err := i.addServer(&g, i.options.Admin, i.admin().Router()); err != nil {
+	i.addLoop(&g, i.poll)
+	g.Add(i.relayer.Run, func(error) { i.relayer.Stop() })
+	if err := i.addAdmin(&g, i.options.Admin, i.admin().Router()); err != nil {
 		return trace.Wrap(err)
 	}
-	g.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
-	err := g.Run()
-	if signal := (run.SignalError{}); errors.As(err, &signal) {
-		return nil
-	}
-	return trace.Wrap(err)
+	l := newLife(i)
+	g.Add(l.run, l.stop)
+	return trace.Wrap(g.Run())
 }
 
 // callers returns the interface for callers.
@@ -46,6 +33,7 @@
 		Address:  i.options.Address,
 		Settings: i.settings.Current,
 		Answer:   i.answer,
+		Leaving:  i.leaving.Load,
 		Handle:   i.Handle,
 		Tracer:   i.options.Tracer,
 	}
@@ -54,7 +42,7 @@
 // admin returns the interface for operators.
 func (i *Instance) admin() *server.Admin {
 	return &server.Admin{
-		Ready:   func() bool { return i.settings.Current() != nil && i.list.Current() != nil },
+		Ready:   func() bool { return i.ready.Load() && !i.leaving.Load() },
 		Page:    i.options.Page,
 		Cost:    i.accounts.Report,
 		Explain: i.explain,
@@ -69,8 +57,8 @@
 	g.Add(func() error { return loop(done) }, func(error) { close(done) })
 }
 
-// addServer adds an HTTP server that listens from now on.
-func (i *Instance) addServer(g *run.Group, address netip.AddrPort, h http.Handler) error {
+// addAdmin adds an HTTP server that listens from now on.
+func (i *Instance) addAdmin(g *run.Group, address netip.AddrPort, h http.Handler) error {
 	l, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return trace.Wrap(err, "cannot listen on %s", address)
--- a/internal/process/commander/option.go
+++ b/internal/process/commander/option.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"crypto/sha256"
 	"encoding/hex"
 	"net/netip"
 	"net/url"
@@ -9,13 +10,15 @@
 
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
+
+	"oriolecourse.example/oriolecourse/internal/connection/framer"
 )
 
 // prefix starts the name of every environment variable.
 const prefix = "ORIOLECOURSE_"
 
-// keyBytes is the least length of a key that instances share.
-const keyBytes = 16
+// keyNameBytes is the part of a key's digest that names the key between instances.
+const keyNameBytes = 4
 
 // option describes one flag and its environment variable.
 type option struct {
@@ -99,11 +102,12 @@
 }
 
 // keys returns a list that checkKeys has accepted.
-func (v values) keys(name string) [][]byte {
-	var found [][]byte
+func (v values) keys(name string) framer.Keys {
+	var found framer.Keys
 	for _, part := range split(v[name]) {
-		key, _ := hex.DecodeString(part)
-		found = append(found, key)
+		secret, _ := hex.DecodeString(part)
+		digest := sha256.Sum256(secret)
+		found = append(found, framer.Key{ID: hex.EncodeToString(digest[:keyNameBytes]), Secret: secret})
 	}
 	return found
 }
@@ -143,8 +147,8 @@
 func checkKeys(value string) error {
 	for _, part := range split(value) {
 		key, err := hex.DecodeString(part)
-		if err != nil || len(key) < keyBytes {
-			return trace.BadParameter("a key has at least %d bytes in hexadecimal", keyBytes)
+		if err != nil || len(key) < framer.MinSecret {
+			return trace.BadParameter("a key has at least %d bytes in hexadecimal", framer.MinSecret)
 		}
 	}
 	return nil
--- a/internal/process/server/callers.go
+++ b/internal/process/server/callers.go
@@ -6,8 +6,6 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -20,9 +18,6 @@
 	"oriolecourse.example/oriolecourse/internal/version/resolver"
 )
 
-// servicePrefix starts the path of every request for a service.
-const servicePrefix = "/s/"
-
 // Answer tells a caller which addresses to use.
 type Answer struct {
 	Service string `json:"service"`
@@ -45,6 +40,8 @@
 	Settings func() *resolver.Snapshot
 	// Answer says which addresses to use; nil if the service is unknown.
 	Answer func(place, service string, now time.Time) *Answer
+	// Leaving tells that connections should end, since the instance will stop.
+	Leaving func() bool
 	// Handle carries one request to its outcome.
 	Handle func(ctx context.Context, r *handler.Request) *handler.Outcome
 	// Tracer starts a span for each request.
@@ -58,8 +55,8 @@
 func (c *Callers) Router() http.Handler {
 	e := echo.New()
 	e.GET("/v1/address", c.address)
-	e.Any(servicePrefix+":service/:kind", c.request)
-	e.Any(servicePrefix+":service/:kind/*", c.request)
+	e.Any(handler.RequestPrefix+":service/:kind", c.request)
+	e.Any(handler.RequestPrefix+":service/:kind/*", c.request)
 	return e
 }
 
@@ -92,7 +89,7 @@
 
 // accept reads the whole request, or says why it is refused.
 func (c *Callers) accept(q *http.Request, now time.Time) (*handler.Request, *handler.Outcome) {
-	service, kind, path := split(q.URL.EscapedPath())
+	service, kind, path := handler.Route(q.URL.RequestURI())
 	p := c.Settings().Policy(c.Place, service, kind)
 	if p == nil {
 		return nil, handler.Refuse(handler.CauseName, 0)
@@ -105,64 +102,20 @@
 		}
 		return nil, handler.Refuse(handler.CauseCancelled, 0)
 	}
-	if q.URL.RawQuery != "" {
-		path += "?" + q.URL.RawQuery
-	}
-	return &handler.Request{
-		Policy:    p,
-		Method:    q.Method,
-		Path:      path,
-		Header:    q.Header,
-		Body:      body,
-		Operation: q.Header.Get(handler.HeaderOperation),
-		Arrived:   now,
-		Deadline:  now.Add(deadline(q.Header, p.Deadline)),
-	}, nil
-}
-
-// split takes the path of a request apart; the target's path starts with the kind.
-func split(path string) (service, kind, rest string) {
-	service, rest, _ = strings.Cut(strings.TrimPrefix(path, servicePrefix), "/")
-	kind, _, _ = strings.Cut(rest, "/")
-	return service, kind, "/" + rest
-}
-
-// deadline returns the time that the caller grants, at most that of the settings.
-func deadline(h http.Header, greatest time.Duration) time.Duration {
-	asked, err := time.ParseDuration(h.Get(handler.HeaderDeadline))
-	if err != nil || asked <= 0 || asked > greatest {
-		return greatest
-	}
-	return asked
+	return handler.NewRequest(p, q.Method, path, q.Header, body, now), nil
 }
 
 func (c *Callers) write(w http.ResponseWriter, o *handler.Outcome) error {
+	m := o.Message()
 	h := w.Header()
-	for name, list := range handler.Strip(o.Header) {
+	for name, list := range m.Header {
 		h[name] = list
 	}
-	h.Set(handler.HeaderOutcome, string(o.Kind))
 	h.Set(handler.HeaderInstance, c.Address.String())
-	if o.Executor != "" {
-		h.Set(handler.HeaderExecutor, o.Executor)
-	}
-	if o.Final {
-		h.Set(handler.HeaderFinal, "true")
-	}
-	if o.Retry > 0 {
-		h.Set(handler.HeaderRetry, o.Retry.String())
-		h.Set("Retry-After", strconv.Itoa(seconds(o.Retry)))
+	if c.Leaving() {
+		h.Set("Connection", "close")
 	}
-	body := o.Body
-	if o.Kind != handler.Done {
-		body = []byte(o.Text())
-	}
-	w.WriteHeader(o.Status)
-	_, err := w.Write(body)
+	w.WriteHeader(m.Status)
+	_, err := w.Write(m.Body)
 	return trace.Wrap(err)
 }
-
-// seconds rounds up to whole seconds, as the Retry-After header wants them.
-func seconds(d time.Duration) int {
-	return int((d + time.Second - 1) / time.Second)
-}
--- a/internal/request/handler/outcome.go
+++ b/internal/request/handler/outcome.go
@@ -121,8 +121,3 @@
 	}
 	return &Outcome{Kind: k, Cause: c, Status: r.Status, Retry: retry, Final: r.Final}
 }
-
-// Text says what happened, for the body of an answer that is not done.
-func (o *Outcome) Text() string {
-	return string(o.Cause) + ": " + records[o.Cause].Text + "\n"
-}
--- a/internal/request/handler/request.go
+++ b/internal/request/handler/request.go
@@ -57,6 +57,42 @@
 	return quarantiner.Sum(p.Place, p.Service, p.Kind, r.Method, r.Path, r.Body)
 }
 
+// RequestPrefix starts the path of every request for a service.
+const RequestPrefix = "/s/"
+
+// Route takes the path and query of a request apart; the target's path starts
+// with the kind.
+func Route(uri string) (service, kind, path string) {
+	service, path, _ = strings.Cut(strings.TrimPrefix(uri, RequestPrefix), "/")
+	path = "/" + path
+	kind, _, _ = strings.Cut(path[1:], "?")
+	kind, _, _ = strings.Cut(kind, "/")
+	return service, kind, path
+}
+
+// NewRequest makes a request that arrives now. The path is that of Route.
+func NewRequest(p *resolver.Policy, method, path string, h http.Header, body []byte, now time.Time) *Request {
+	return &Request{
+		Policy:    p,
+		Method:    method,
+		Path:      path,
+		Header:    h,
+		Body:      body,
+		Operation: h.Get(HeaderOperation),
+		Arrived:   now,
+		Deadline:  now.Add(allowed(h, p.Deadline)),
+	}
+}
+
+// allowed returns the time that the caller grants, at most that of the settings.
+func allowed(h http.Header, greatest time.Duration) time.Duration {
+	asked, err := time.ParseDuration(h.Get(HeaderDeadline))
+	if err != nil || asked <= 0 || asked > greatest {
+		return greatest
+	}
+	return asked
+}
+
 // hops are the headers that belong to one connection.
 var hops = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
