--- /dev/null
+++ b/internal/process/steerer/steerer_test.go
@@ -0,0 +1,300 @@
+package steerer
+
+import (
+	"fmt"
+	"math/rand"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"oriolecourse.example/oriolecourse/internal/process/detector"
+	"oriolecourse.example/oriolecourse/internal/version/lister"
+)
+
+func parameters() *gopter.TestParameters {
+	p := gopter.DefaultTestParametersWithSeed(1)
+	p.MinSuccessfulTests = 200
+	return p
+}
+
+func member(i int) detector.Member {
+	a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+	return detector.Member{
+		Instance:    lister.Instance{Address: a, Peer: a, Place: "himal", Zone: fmt.Sprint("z", i%3)},
+		Incarnation: uint64(i + 1),
+	}
+}
+
+func services(n, active int) []Service {
+	all := make([]Service, n)
+	for i := range all {
+		all[i] = Service{Place: "himal", Name: fmt.Sprint("service", i), Homes: 2, Active: active}
+	}
+	return all
+}
+
+// assigner gives each item the index of a bin.
+type assigner func(items []uint64, bins []bin) []int
+
+func bounded(items []uint64, bins []bin) []int { return assign(items, bins, slack, spareRoom) }
+
+// modulo is a broken variant: a change of one bin moves nearly everything.
+func modulo(items []uint64, bins []bin) []int {
+	found := make([]int, len(items))
+	for i, item := range items {
+		found[i] = int(mix(item) % uint64(len(bins)))
+	}
+	return found
+}
+
+// stable checks that replacing a bin moves about its own items and those that the
+// new one takes, and that losing a bin moves about its own.
+func stable(a assigner) gopter.Prop {
+	return prop.ForAll(func(seed int64, n, count int) string {
+		random := rand.New(rand.NewSource(seed))
+		items := make([]uint64, count)
+		for i := range items {
+			items[i] = random.Uint64()
+		}
+		before := make([]bin, n)
+		for i := range before {
+			before[i] = bin{hash: random.Uint64(), weight: fullWeight}
+		}
+		replaced := slices.Clone(before)
+		replaced[n-1] = bin{hash: random.Uint64(), weight: fullWeight}
+		old := a(items, before)
+		replacing := moved(old, a(items, replaced), n-1)
+		losing := moved(old, a(items, before[:n-1]), n-1)
+		if replacing > 3*count/n+8 || losing > 2*count/n+8 {
+			return fmt.Sprintf("%d services on %d members: replacing one moved %d, losing one %d", count, n, replacing, losing)
+		}
+		return ""
+	}, gen.Int64(), gen.IntRange(8, 80), gen.IntRange(40, 210))
+}
+
+// moved counts the items that have another bin or had the one that is gone.
+func moved(before, after []int, gone int) int {
+	n := 0
+	for i := range before {
+		if before[i] != after[i] || before[i] == gone {
+			n++
+		}
+	}
+	return n
+}
+
+func TestAssignmentIsStable(t *testing.T) {
+	properties := gopter.NewProperties(parameters())
+	properties.Property("bounded rendezvous", stable(bounded))
+	properties.TestingRun(t)
+	if stable(modulo).Check(parameters()).Passed() {
+		t.Error("the check passes modulo hashing, which moves nearly every service")
+	}
+}
+
+func TestAssignmentIsEven(t *testing.T) {
+	p := Build(View{Self: member(0), Members: others(16)}, services(210, 1))
+	taken := map[netip.AddrPort]int{}
+	for _, s := range services(210, 1) {
+		taken[p.Homes("himal", s.Name)[0]]++
+	}
+	for a, n := range taken {
+		if n > 18 {
+			t.Errorf("%s has %d services, the average is 13", a, n)
+		}
+	}
+	if len(taken) != 16 {
+		t.Errorf("%d members have services, want 16", len(taken))
+	}
+}
+
+func others(n int) []detector.Member {
+	var all []detector.Member
+	for i := 1; i < n; i++ {
+		all = append(all, member(i))
+	}
+	return all
+}
+
+// sound checks what must hold for every answer.
+func sound(named []detector.Member, v View, least int) string {
+	usable, zones := 0, map[string]bool{}
+	suspects, answer, seen := 0, map[string]bool{}, map[netip.AddrPort]bool{}
+	for _, m := range append(slices.Clone(v.Members), v.Self) {
+		if m.Usable() {
+			usable++
+			zones[m.Instance.Zone] = true
+			if m.State == detector.Suspect {
+				suspects++
+			}
+		}
+	}
+	for _, m := range named {
+		if !m.Usable() || seen[m.Instance.Peer] {
+			return fmt.Sprintf("names %s, %s, leaving %t", m.Instance.Peer, m.State, m.Leaving)
+		}
+		seen[m.Instance.Peer] = true
+		answer[m.Instance.Zone] = true
+	}
+	if len(named) < min(least, usable) {
+		return fmt.Sprintf("names %d of %d", len(named), usable)
+	}
+	if len(answer) < min(2, len(zones)) {
+		return fmt.Sprintf("names %d zones of %d", len(answer), len(zones))
+	}
+	if usable > suspects && named[0].State == detector.Suspect {
+		return "names a suspect first"
+	}
+	return ""
+}
+
+func TestAnswersNameUsableMembersOfTwoZones(t *testing.T) {
+	properties := gopter.NewProperties(parameters())
+	properties.Property("answers", prop.ForAll(func(seed int64, n, active int) string {
+		random := rand.New(rand.NewSource(seed))
+		v := View{Self: member(0), Load: map[netip.AddrPort]float64{}}
+		v.Self.Leaving = random.Intn(4) == 0
+		for _, m := range others(n) {
+			m.State = detector.State(random.Intn(3))
+			m.Leaving = random.Intn(4) == 0
+			v.Load[m.Instance.Peer] = random.Float64() * 1.5
+			v.Members = append(v.Members, m)
+		}
+		p := Build(v, services(20, active))
+		for _, s := range services(20, active) {
+			if fault := sound(p.Answer("himal", s.Name, random.Uint64()), v, s.Homes); fault != "" {
+				return fault
+			}
+		}
+		return ""
+	}, gen.Int64(), gen.IntRange(2, 20), gen.IntRange(1, 4)))
+	properties.TestingRun(t)
+}
+
+func TestIsolatedInstanceNamesItself(t *testing.T) {
+	self := member(0)
+	v := View{Self: self}
+	for _, m := range others(8) {
+		m.State = detector.Failed
+		v.Members = append(v.Members, m)
+	}
+	if named := Build(v, services(1, 1)).Answer("himal", "service0", 0); len(named) != 1 || named[0] != self {
+		t.Errorf("names %v, want the instance itself", named)
+	}
+	v.Self.Leaving = true
+	if named := Build(v, services(1, 1)).Answer("himal", "service0", 0); len(named) != 0 {
+		t.Errorf("names %v while leaving", named)
+	}
+}
+
+func TestOverloadedMemberGivesUpServices(t *testing.T) {
+	v := View{Self: member(0), Members: others(8), Load: map[netip.AddrPort]float64{}}
+	count := func() int {
+		n := 0
+		p := Build(v, services(80, 1))
+		for _, s := range services(80, 1) {
+			if p.Homes("himal", s.Name)[0] == member(3).Instance.Peer {
+				n++
+			}
+		}
+		return n
+	}
+	before := count()
+	v.Load[member(3).Instance.Peer] = 1.2
+	if after := count(); after*2 > before {
+		t.Errorf("has %d services when overloaded, %d before", after, before)
+	}
+}
+
+func TestCallersSpreadOverActiveHomes(t *testing.T) {
+	p := Build(View{Self: member(0), Members: others(16)}, services(1, 3))
+	first := map[netip.AddrPort]int{}
+	for pick := range uint64(300) {
+		first[p.Answer("himal", "service0", pick)[0].Instance.Peer]++
+	}
+	for _, a := range p.Homes("himal", "service0") {
+		if first[a] != 100 {
+			t.Errorf("%s comes first in %d of 300 answers, want 100", a, first[a])
+		}
+	}
+}
+
+func TestOwnersSplitEvenly(t *testing.T) {
+	var homes, targets []netip.AddrPort
+	for i := range 3 {
+		homes = append(homes, member(i).Instance.Peer)
+	}
+	for i := range 14 {
+		targets = append(targets, member(100+i).Instance.Peer)
+	}
+	owned := map[netip.AddrPort]int{}
+	for _, h := range Owners(homes, targets) {
+		owned[h]++
+	}
+	for _, h := range homes {
+		if owned[h] < 4 || owned[h] > 5 {
+			t.Errorf("%s owns %d of 14 targets", h, owned[h])
+		}
+	}
+}
+
+func TestScalerGrowsAtOnceAndShrinksLate(t *testing.T) {
+	start := time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+	steps := []struct {
+		after time.Duration
+		rate  float64
+		want  int
+	}{
+		{0, 50, 1},
+		{time.Second, 101, 2},
+		{2 * time.Second, 90, 2},
+		{3 * time.Second, 60, 2},
+		{20 * time.Second, 75, 2},
+		{25 * time.Second, 60, 2},
+		{54 * time.Second, 60, 2},
+		{55 * time.Second, 60, 1},
+		{56 * time.Second, 450, 5},
+		{57 * time.Second, 0, 5},
+		{87 * time.Second, 0, 1},
+	}
+	s := &Scaler{}
+	for _, c := range steps {
+		if got := s.Active(c.rate, 100, start.Add(c.after)); got != c.want {
+			t.Errorf("at %s with %.0f calls/s: %d homes, want %d", c.after, c.rate, got, c.want)
+		}
+	}
+}
+
+func TestLoadsKeepTheLatest(t *testing.T) {
+	start := time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+	l := NewLoads()
+	a := member(1).Instance.Peer
+	l.Tell("himal", "lookup", a, 10, start.Add(20*time.Second))
+	l.Tell("himal", "lookup", a, 99, start.Add(10*time.Second))
+	l.Tell("himal", "lookup", member(2).Instance.Peer, 5, start.Add(5*time.Second))
+	l.Tell("himal", "", a, 0.5, start.Add(20*time.Second))
+	if got := l.Rate("himal", "lookup", start); got != 15 {
+		t.Errorf("rate %.0f, want 15", got)
+	}
+	if got := l.Rate("himal", "lookup", start.Add(6*time.Second)); got != 10 {
+		t.Errorf("rate %.0f after one expired, want 10", got)
+	}
+	if got := l.Instances(start)[a]; got != 0.5 {
+		t.Errorf("load %.1f, want 0.5", got)
+	}
+	due := []bool{
+		l.Due("himal", "lookup", 100, start),
+		l.Due("himal", "lookup", 110, start.Add(time.Second)),
+		l.Due("himal", "lookup", 140, start.Add(2*time.Second)),
+		l.Due("himal", "lookup", 140, start.Add(time.Minute)),
+		l.Due("himal", "idle", 0, start),
+	}
+	if want := []bool{true, false, true, true, false}; !slices.Equal(due, want) {
+		t.Errorf("due %v, want %v", due, want)
+	}
+}
