--- a/internal/process/assembler/instance.go
+++ b/internal/process/assembler/instance.go
@@ -61,7 +61,7 @@
 		settings:    adopter.NewSettings(),
 		list:        adopter.NewList(),
 		tracker:     tracker.New(),
-		services:    newServices(o.Zone),
+		services:    newServices(o.Zone, o.Policy),
 		quarantine:  quarantiner.New(quarantiner.DefaultLimits),
 		accounts:    accountant.New(o.Address, o.Zone, now),
 		changed:     make(chan struct{}, 1),
--- a/internal/process/assembler/services.go
+++ b/internal/process/assembler/services.go
@@ -23,14 +23,16 @@
 
 // services holds the parts by service. Readers load the map without a lock.
 type services struct {
-	zone    string
+	zone string
+	// policy names the way in which targets are chosen.
+	policy  string
 	current atomic.Pointer[map[tracker.Service]*service]
 	// mutex orders additions.
 	mutex sync.Mutex
 }
 
-func newServices(zone string) *services {
-	s := &services{zone: zone}
+func newServices(zone, policy string) *services {
+	s := &services{zone: zone, policy: policy}
 	s.current.Store(&map[tracker.Service]*service{})
 	return s
 }
@@ -49,6 +51,7 @@
 	}
 	d := dispatcher.New(place, name)
 	d.Zone = s.zone
+	d.Baseline = dispatcher.Baselines(s.policy)
 	made := &service{dispatcher: d, prober: prober.New(prober.Rate{}, prober.Weights{}, now)}
 	grown := maps.Clone(old)
 	grown[key] = made
--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -42,6 +42,8 @@
 	Random func() uint64
 	// Tuning holds the score's constants. It is set before use.
 	Tuning chooser.Tuning
+	// Baseline replaces the choice of targets if it is set. It is set before use.
+	Baseline Baseline
 
 	// origin is where the ticks of the targets start; it is set once, by the
 	// first configuration.
@@ -150,7 +152,7 @@
 // HedgeDelay returns how long after a first try's start a second one may be
 // asked for; ok is false when the kind has none.
 func (d *Dispatcher) HedgeDelay(p *resolver.Policy) (delay time.Duration, ok bool) {
-	if !retrier.Hedged(p) {
+	if d.Baseline != nil || !retrier.Hedged(p) {
 		return 0, false
 	}
 	return p.Hedge, true
--- a/internal/process/dispatcher/offer.go
+++ b/internal/process/dispatcher/offer.go
@@ -114,6 +114,12 @@
 
 // Offer grants a request room at a target, queues it, or refuses it.
 func (d *Dispatcher) Offer(want Want, now time.Time) Answer {
+	if d.Baseline != nil {
+		if lease := d.plain(&want, now); lease != nil {
+			d.granted(&want)
+			return Answer{Lease: lease}
+		}
+	}
 	n := d.normal(want.Policy.Kind)
 	due := want.due(now)
 	if !now.Add(n.Mean()).Before(due) {
