Steer callers of a service to its homes

Cause: answers named all instances, so each home saw only a part of its targets' load. Answers now name the homes of the plan, the home owns its targets, and the executor's token of another instance is asked for over the peer link.

--- a/internal/process/assembler/answers.go
+++ b/internal/process/assembler/answers.go
@@ -1,32 +1,95 @@
 package assembler
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
+	"oriolecourse.example/oriolecourse/internal/process/detector"
+	"oriolecourse.example/oriolecourse/internal/process/relayer"
 	"oriolecourse.example/oriolecourse/internal/process/server"
+	"oriolecourse.example/oriolecourse/internal/process/steerer"
 	"oriolecourse.example/oriolecourse/internal/process/tracker"
-	"oriolecourse.example/oriolecourse/internal/version/lister"
 	"oriolecourse.example/oriolecourse/internal/version/resolver"
 )
 
 // answer tells a caller which instances to use for a service.
-func (i *Instance) answer(place, name string, _ time.Time) *server.Answer {
+func (i *Instance) answer(place, name string, now time.Time) *server.Answer {
 	s := i.settings.Current()
-	if s == nil || s.Service(place, name) == nil {
+	plan := i.plan.Load()
+	if s == nil || plan == nil || s.Service(place, name) == nil {
 		return nil
 	}
-	p := s.Service(place, name)
-	a := &server.Answer{Service: name, Place: place, Keep: p.Keep.String()}
-	for _, l := range i.list.Current().Instances {
-		if l.State == lister.Live {
-			a.Addresses = append(a.Addresses, l.Address)
-		}
+	named := plan.Answer(place, name, rand.Uint64())
+	if i.options.Spread {
+		named = i.everyone()
+	}
+	a := &server.Answer{Service: name, Place: place, Keep: s.Service(place, name).Keep.String()}
+	for _, m := range named {
+		a.Addresses = append(a.Addresses, m.Instance.Address)
+	}
+	if len(named) > 0 && named[0].Instance.Place == i.options.Place {
+		a.Executor = i.tokens.get(named[0], now)
 	}
 	return a
 }
 
+// everyone returns all members that callers may be sent to, in random order.
+func (i *Instance) everyone() []detector.Member {
+	all := []detector.Member{i.relayer.Self()}
+	for _, m := range i.relayer.Members() {
+		if m.Usable() {
+			all = append(all, m)
+		}
+	}
+	rand.Shuffle(len(all), func(a, b int) { all[a], all[b] = all[b], all[a] })
+	return all
+}
+
+// planned returns the homes of all services under the present view.
+func (i *Instance) planned(s *resolver.Snapshot, now time.Time) *steerer.Plan {
+	services := make([]steerer.Service, 0, len(s.Services))
+	for k, p := range s.Services {
+		services = append(services, steerer.Service{
+			Place:  k.Place,
+			Name:   k.Service,
+			Homes:  p.Homes,
+			Active: i.active(p, now),
+		})
+	}
+	return steerer.Build(steerer.View{
+		Self:    i.relayer.Self(),
+		Members: i.relayer.Members(),
+		Load:    i.loads.Instances(now),
+	}, services)
+}
+
+// active returns the number of homes that the call rate of a service needs.
+func (i *Instance) active(p *resolver.Policy, now time.Time) int {
+	v := i.services.get(p.Place, p.Service, now)
+	own := v.meter.Rate(now)
+	if i.loads.Due(p.Place, p.Service, own, now) {
+		i.relayer.Spread(relayer.Rumor{
+			Topic:    relayer.Load,
+			Place:    p.Place,
+			Service:  p.Service,
+			Instance: i.options.Peer,
+			Rate:     own,
+			Left:     rumorLife,
+		}, now)
+	}
+	return v.scaler.Active(own+i.loads.Rate(p.Place, p.Service, now), p.Rate, now)
+}
+
 // owned tells which targets of a service this instance owns.
-func (i *Instance) owned(_ *resolver.Policy, _ []tracker.Target, _ time.Time) func(netip.AddrPort) bool {
-	return func(netip.AddrPort) bool { return true }
+func (i *Instance) owned(plan *steerer.Plan, p *resolver.Policy, usable []tracker.Target) func(netip.AddrPort) bool {
+	if i.options.Spread {
+		return func(netip.AddrPort) bool { return true }
+	}
+	targets := make([]netip.AddrPort, len(usable))
+	for n, t := range usable {
+		targets[n] = t.Address
+	}
+	owners := steerer.Owners(plan.Homes(p.Place, p.Service), targets)
+	return func(target netip.AddrPort) bool { return owners[target] == i.options.Peer }
 }
--- a/internal/process/assembler/instance.go
+++ b/internal/process/assembler/instance.go
@@ -15,6 +15,7 @@
 	"oriolecourse.example/oriolecourse/internal/process/executor"
 	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
 	"oriolecourse.example/oriolecourse/internal/process/relayer"
+	"oriolecourse.example/oriolecourse/internal/process/steerer"
 	"oriolecourse.example/oriolecourse/internal/process/tracker"
 	"oriolecourse.example/oriolecourse/internal/request/handler"
 	"oriolecourse.example/oriolecourse/internal/version/lister"
@@ -38,10 +39,14 @@
 	quarantine *quarantiner.Table
 	accounts   *accountant.Accountant
 	relayer    *relayer.Relayer
+	loads      *steerer.Loads
+	tokens     *tokens
 	sender     *sender.Sender
 	handler    *handler.Handler
 	operator   *handler.Operator
 
+	// plan holds the homes of all services.
+	plan atomic.Pointer[steerer.Plan]
 	// ready is set when callers are served, leaving when the instance will stop.
 	ready, leaving atomic.Bool
 	// cuts holds the peers with which the exchange is forbidden.
@@ -64,10 +69,17 @@
 		services:    newServices(o.Zone, o.Policy),
 		quarantine:  quarantiner.New(quarantiner.DefaultLimits),
 		accounts:    accountant.New(o.Address, o.Zone, now),
+		loads:       steerer.NewLoads(),
 		changed:     make(chan struct{}, 1),
 	}
 	i.table = executor.New(o.Peer, i.incarnation, limits(nil), now)
 	i.relayer = i.newRelayer()
+	i.tokens = &tokens{
+		self:    o.Peer,
+		table:   i.table,
+		forward: i.relayer.Forward,
+		kept:    map[netip.AddrPort]keptToken{},
+	}
 	i.sender = &sender.Sender{DialTimeout: dialTimeout, Opened: i.opened}
 	i.handler = i.newHandler()
 	i.operator = &handler.Operator{Table: i.table, Handler: i.handler, Forward: i.forward}
@@ -112,7 +124,7 @@
 
 // Handle carries one request of a caller.
 func (i *Instance) Handle(ctx context.Context, r *handler.Request) *handler.Outcome {
-	i.services.get(r.Policy.Place, r.Policy.Service, r.Arrived).calls.Add(1)
+	i.services.get(r.Policy.Place, r.Policy.Service, r.Arrived).meter.Add()
 	var o *handler.Outcome
 	if r.Policy.Once {
 		o = i.operator.Handle(ctx, r)
--- a/internal/process/assembler/refresher.go
+++ b/internal/process/assembler/refresher.go
@@ -34,6 +34,8 @@
 	if s == nil {
 		return
 	}
+	plan := i.planned(s, now)
+	i.plan.Store(plan)
 	homes := map[netip.AddrPort]tracker.Service{}
 	l := limits(nil)
 	for key, p := range s.Services {
@@ -41,7 +43,7 @@
 			continue
 		}
 		usable := i.tracker.Usable(key.Place, key.Service, now)
-		owned := i.owned(p, usable, now)
+		owned := i.owned(plan, p, usable)
 		i.services.get(key.Place, key.Service, now).configure(p, usable, owned, now)
 		for _, t := range usable {
 			i.sender.Share(t.Address, p.Connections/p.Fleet)
--- a/internal/process/assembler/rumors.go
+++ b/internal/process/assembler/rumors.go
@@ -27,6 +27,8 @@
 			Run:         quarantiner.Run{Address: r.Target, Start: r.Start},
 			Age:         age,
 		}, now)
+	case relayer.Load:
+		i.loads.Tell(r.Place, r.Service, r.Instance, r.Rate, now.Add(r.Left))
 	}
 }
 
--- a/internal/process/assembler/services.go
+++ b/internal/process/assembler/services.go
@@ -9,6 +9,7 @@
 
 	"oriolecourse.example/oriolecourse/internal/process/dispatcher"
 	"oriolecourse.example/oriolecourse/internal/process/prober"
+	"oriolecourse.example/oriolecourse/internal/process/steerer"
 	"oriolecourse.example/oriolecourse/internal/process/tracker"
 	"oriolecourse.example/oriolecourse/internal/version/resolver"
 )
@@ -17,8 +18,10 @@
 type service struct {
 	dispatcher *dispatcher.Dispatcher
 	prober     *prober.Prober
-	// calls counts the requests that this instance has taken.
-	calls atomic.Int64
+	// meter measures the requests that this instance takes.
+	meter steerer.Meter
+	// scaler decides how many homes are active; the refresher owns it.
+	scaler steerer.Scaler
 }
 
 // services holds the parts by service. Readers load the map without a lock.
