--- /dev/null
+++ b/internal/process/executor/session_test.go
@@ -0,0 +1,136 @@
+package executor
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"oriolecourse.example/oriolecourse/internal/standin/narrator"
+)
+
+var here = netip.MustParseAddrPort("10.0.0.1:7001")
+
+var sessionLimits = Limits{
+	Epoch: 10 * time.Second, Keep: 5 * time.Second, Forget: time.Minute, Capacity: 3, Epochs: 4, Bytes: 1000,
+}
+
+// session replays events over one table.
+type session struct {
+	table   *Table
+	records map[string]*Record
+}
+
+// id reads "EPOCH/PART", or "PEER~INCARNATION~EPOCH/PART" for another executor.
+func (s *session) id(text string) Operation {
+	if o, err := ParseOperation(text); err == nil {
+		return o
+	}
+	number, part, _ := strings.Cut(text, "/")
+	epoch, _ := strconv.ParseUint(number, 10, 64)
+	return Operation{Token: Token{Peer: here, Incarnation: 1, Epoch: epoch}, Part: part}
+}
+
+func (s *session) do(e narrator.Event) string {
+	switch e.Verb {
+	case "token":
+		token, ok := s.table.Token(e.Now)
+		if !ok {
+			return "none"
+		}
+		return fmt.Sprintf("epoch %d", token.Epoch)
+	case "begin":
+		return s.begin(e)
+	case "send":
+		return strconv.FormatBool(s.table.Send(s.records[e.Arg(0)], e.Now))
+	case "disown":
+		s.table.Disown(s.records[e.Arg(0)])
+		return ""
+	case "finish":
+		s.table.Finish(s.records[e.Arg(0)], sessionOutcome(e.Args[1:]), e.Now)
+		return describe(s.records[e.Arg(0)])
+	case "configure":
+		limits := sessionLimits
+		limits.Epoch, _ = time.ParseDuration(e.Arg(0))
+		limits.Forget, _ = time.ParseDuration(e.Arg(1))
+		s.table.Configure(limits, e.Now)
+		return ""
+	case "close":
+		s.table.Close(e.Now)
+		return ""
+	case "stats":
+		return fmt.Sprintf("%+v", s.table.Stats())
+	}
+	return "unknown verb"
+}
+
+// begin reads "ID [FINGERPRINT [DEADLINE]]".
+func (s *session) begin(e narrator.Event) string {
+	fingerprint, _ := strconv.ParseUint(e.Arg(1), 10, 64)
+	deadline := e.Now.Add(2 * time.Second)
+	if left, err := time.ParseDuration(e.Arg(2)); err == nil {
+		deadline = e.Now.Add(left)
+	}
+	v := s.table.Begin(s.id(e.Arg(0)), fingerprint, deadline, e.Now)
+	if v.Action == Run {
+		s.records[e.Arg(0)] = v.Record
+	}
+	if v.Action == Wait {
+		return "wait: " + describe(v.Record)
+	}
+	return v.Action.String()
+}
+
+func sessionOutcome(args []string) Outcome {
+	switch args[0] {
+	case "done":
+		size, _ := strconv.Atoi(args[1])
+		return Outcome{Result: Done, Status: 200, Body: make([]byte, size)}
+	case "unrun":
+		return Outcome{Result: Unrun, Reason: strings.Join(args[1:], " ")}
+	}
+	return Outcome{Result: Unknown, Reason: strings.Join(args[1:], " ")}
+}
+
+func describe(r *Record) string {
+	o := r.Outcome()
+	if o == nil {
+		return "running"
+	}
+	text := o.Result.String()
+	if o.Dropped {
+		text += " dropped"
+	}
+	if o.Reason != "" {
+		text += " (" + o.Reason + ")"
+	}
+	return text
+}
+
+func TestSessions(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.session")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no sessions", err)
+	}
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".session")
+		t.Run(name, func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s := &session{table: New(here, 1, sessionLimits, narrator.Epoch), records: make(map[string]*Record)}
+			got, err := narrator.Replay(string(text), s.do)
+			if err != nil {
+				t.Fatal(err)
+			}
+			goldie.New(t, goldie.WithFixtureDir("testdata"), goldie.WithNameSuffix(".session")).Assert(t, name, []byte(got))
+		})
+	}
+}
--- a/internal/process/executor/table.go
+++ b/internal/process/executor/table.go
@@ -176,8 +176,9 @@
 }
 
 // Send reports whether the operation may be sent now. It is asked right before
-// the first byte leaves and is true at most once for a record. When the deadline
-// has passed, as after a pause of the process, the record is finished as unrun.
+// the first byte leaves and is true at most once for a record, unless Disown
+// took the sending back. When the deadline has passed, as after a pause of the
+// process, the record is finished as unrun.
 func (t *Table) Send(r *Record, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -193,6 +194,17 @@
 	return true
 }
 
+// Disown takes a sending back after the target itself has said that it did not
+// run the operation, so that another target may be asked. A broken connection
+// says nothing of the kind.
+func (t *Table) Disown(r *Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.phase == sent {
+		r.phase = begun
+	}
+}
+
 // Finish sets the outcome of a record; the first one stands. Every way of
 // leaving an attempt must finish its record, also a shed or failed one, so that
 // a delayed duplicate of the message cannot run it later.
