--- a/internal/process/quarantiner/judge.go
+++ b/internal/process/quarantiner/judge.go
@@ -22,12 +22,36 @@
 		e.last = at
 	}
 	t.note(f, r, at)
+	t.reconsider(now)
 	if now.Before(e.until) || len(e.runs) < convicting || len(e.runs) < t.needed(e) {
 		return
 	}
 	e.until = now.Add(t.term(e.terms))
 	e.terms++
 	t.convictions++
+	t.jail[f] = e
+}
+
+// reconsider lets requests out of quarantine when a later loss shows that the
+// earlier ones do not point at them alone.
+func (t *Table) reconsider(now time.Time) {
+	for f, e := range t.jail {
+		if !now.Before(e.until) {
+			delete(t.jail, f)
+			continue
+		}
+		if len(e.runs) < t.needed(e) {
+			t.release(e)
+		}
+	}
+}
+
+// release ends a quarantine early.
+func (t *Table) release(e *entry) {
+	e.until = time.Time{}
+	e.terms--
+	t.reprieves++
+	delete(t.jail, e.fingerprint)
 }
 
 // needed returns the number of lost runs that convicts a request: one more when
@@ -101,9 +125,7 @@
 	}
 	delete(e.runs, r)
 	if now.Before(e.until) && len(e.runs) < convicting {
-		e.until = time.Time{}
-		e.terms--
-		t.reprieves++
+		t.release(e)
 	}
 	if len(e.runs) == 0 {
 		t.remove(e)
@@ -131,6 +153,7 @@
 
 func (t *Table) remove(e *entry) {
 	delete(t.entries, e.fingerprint)
+	delete(t.jail, e.fingerprint)
 	t.size.Store(int64(len(t.entries)))
 	for r := range e.runs {
 		t.unnote(e.fingerprint, r)
--- /dev/null
+++ b/internal/process/quarantiner/session_test.go
@@ -0,0 +1,87 @@
+package quarantiner
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"oriolecourse.example/oriolecourse/internal/standin/narrator"
+)
+
+var lookup = Service{Place: "himal", Service: "lookup"}
+
+var sessionLimits = Limits{
+	Suspicion: time.Minute, Quarantine: 30 * time.Second, Longest: 100 * time.Second,
+	Together: 2 * time.Second, Crowd: 3, Entries: 8, Runs: 4,
+}
+
+// request reads a name of one letter.
+func request(name string) Fingerprint {
+	return Sum(lookup.Place, lookup.Service, "find", "GET", "/find/"+name, nil)
+}
+
+// run reads "NUMBER.START".
+func run(text string) Run {
+	number, start, _ := strings.Cut(text, ".")
+	last, _ := strconv.Atoi(number)
+	return Run{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(last)}), 80), Start: start}
+}
+
+func replay(t *Table) func(narrator.Event) string {
+	return func(e narrator.Event) string {
+		switch e.Verb {
+		case "enter":
+			v, wait := t.Enter(lookup, request(e.Arg(0)), e.Now)
+			if wait > 0 {
+				return fmt.Sprintf("%s, back in %s", v, wait)
+			}
+			return v.String()
+		case "leave":
+			t.Leave(lookup, request(e.Arg(0)))
+			return ""
+		case "lost":
+			t.Lost(lookup, request(e.Arg(0)), run(e.Arg(1)), e.Now)
+		case "hear":
+			age, _ := time.ParseDuration(e.Arg(2))
+			t.Hear(Rumour{Service: lookup, Fingerprint: request(e.Arg(0)), Run: run(e.Arg(1)), Age: age}, e.Now)
+		case "alive":
+			sent, _ := time.ParseDuration(e.Arg(1))
+			t.Alive(run(e.Arg(0)), narrator.Epoch.Add(sent), e.Now)
+		case "answered":
+			t.Answered(request(e.Arg(0)), e.Now)
+		case "suspect":
+			return strconv.FormatBool(t.Suspect(request(e.Arg(0)), e.Now))
+		default:
+			return "unknown verb"
+		}
+		return fmt.Sprintf("%+v", t.Stats())
+	}
+}
+
+func TestSessions(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.session")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no sessions", err)
+	}
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".session")
+		t.Run(name, func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := narrator.Replay(string(text), replay(New(sessionLimits)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			goldie.New(t, goldie.WithFixtureDir("testdata"), goldie.WithNameSuffix(".session")).Assert(t, name, []byte(got))
+		})
+	}
+}
--- a/internal/process/quarantiner/table.go
+++ b/internal/process/quarantiner/table.go
@@ -39,6 +39,9 @@
 	losses map[Run]map[Fingerprint]time.Time
 	// apart holds the suspect that runs alone, by service.
 	apart map[Service]Fingerprint
+	// jail holds the entries that were convicted and not seen to be out of
+	// quarantine since.
+	jail map[Fingerprint]*entry
 	// convictions and reprieves count changes of state.
 	convictions, reprieves int64
 }
@@ -50,6 +53,7 @@
 		entries: make(map[Fingerprint]*entry),
 		losses:  make(map[Run]map[Fingerprint]time.Time),
 		apart:   make(map[Service]Fingerprint),
+		jail:    make(map[Fingerprint]*entry),
 	}
 }
 
