prober: hold the budget by what may still arrive

Cause: spacing probes from their completion lets a target that is stopped for several windows collect timed out probes and read them all at once. Now a probe counts until its connection ends and for a window and a timeout after, and a new process waits until what the one before it sent has left every window.

--- /dev/null
+++ b/internal/process/prober/need_test.go
@@ -0,0 +1,141 @@
+package prober
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"oriolecourse.example/oriolecourse/internal/standin/narrator"
+)
+
+var (
+	himal      = Weights{Tail: 8, Cost: 3}
+	steadyhand = Weights{Tail: 4, Cost: 8}
+)
+
+var reasons = map[string]Reason{"draining": Draining, "ejected": Ejected, "cold": Cold, "idle": Idle, "known": Known}
+
+// session replays events over one prober and its candidates.
+type session struct {
+	prober     *Prober
+	candidates []Candidate
+	claims     map[string]*Claim
+}
+
+func (s *session) do(e narrator.Event) string {
+	switch e.Verb {
+	case "settings":
+		rate := Rate{Fleet: 4, Window: 10 * time.Second, Timeout: time.Second}
+		var w Weights
+		if _, err := fmt.Sscanf(strings.Join(e.Args, " "), "probes=%d tail=%d cost=%d", &rate.Probes, &w.Tail, &w.Cost); err != nil {
+			return err.Error()
+		}
+		if s.prober == nil {
+			s.prober = New(rate, w, e.Now)
+		}
+		s.prober.Configure(rate, w)
+	case "target":
+		s.set(e)
+	case "next":
+		c, wait := s.prober.Next(e.Now, s.candidates)
+		if c == nil {
+			return fmt.Sprintf("none, ask again in %s", wait)
+		}
+		name := fmt.Sprint(c.Target.Addr().As4()[3])
+		s.claims[name] = c
+		return "target " + name
+	case "sent":
+		return fmt.Sprint(s.prober.Sent(s.claims[e.Arg(0)], e.Now))
+	case "done":
+		s.prober.Done(s.claims[e.Arg(0)], e.Now)
+	default:
+		return "unknown verb"
+	}
+	return ""
+}
+
+// set reads "NUMBER REASON [PROBES]": the target last told something now.
+func (s *session) set(e narrator.Event) {
+	var last byte
+	var same int
+	_, _ = fmt.Sscan(e.Arg(0), &last)
+	_, _ = fmt.Sscan(e.Arg(2), &same)
+	c := Candidate{
+		Target: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, last}), 80),
+		Reason: reasons[e.Arg(1)], Heard: e.Now, Bad: e.Now, Same: same,
+	}
+	for i := range s.candidates {
+		if s.candidates[i].Target == c.Target {
+			if s.candidates[i].Reason == c.Reason {
+				c.Bad = s.candidates[i].Bad
+			}
+			s.candidates[i] = c
+			return
+		}
+	}
+	s.candidates = append(s.candidates, c)
+}
+
+func TestSessions(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.session")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no sessions", err)
+	}
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".session")
+		t.Run(name, func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s := &session{claims: make(map[string]*Claim)}
+			got, err := narrator.Replay(string(text), s.do)
+			if err != nil {
+				t.Fatal(err)
+			}
+			goldie.New(t, goldie.WithFixtureDir("testdata"), goldie.WithNameSuffix(".session")).Assert(t, name, []byte(got))
+		})
+	}
+}
+
+// outage returns the probes that one ejected target gets over ten minutes, and
+// the time until the first one.
+func outage(w Weights) (int, time.Duration) {
+	now := narrator.Epoch
+	p := New(Rate{Probes: 64, Fleet: 32, Window: 10 * time.Second, Timeout: 500 * time.Millisecond}, w, now.Add(-time.Hour))
+	c := Candidate{Target: someTarget, Reason: Ejected, Heard: now, Bad: now}
+	var first time.Duration
+	probes := 0
+	for now.Sub(narrator.Epoch) < 10*time.Minute {
+		claim, wait := p.Next(now, []Candidate{c})
+		if claim == nil {
+			now = now.Add(wait)
+			continue
+		}
+		if probes == 0 {
+			first = now.Sub(narrator.Epoch)
+		}
+		probes++
+		p.Sent(claim, now)
+		now = now.Add(6 * time.Millisecond)
+		p.Done(claim, now)
+		c.Heard = now
+		c.Same++
+	}
+	return probes, first
+}
+
+func TestWeightsShapeTheNeed(t *testing.T) {
+	himalProbes, himalFirst := outage(himal)
+	steadyProbes, steadyFirst := outage(steadyhand)
+	t.Logf("himal: %d probes, the first after %s; steadyhand: %d, after %s", himalProbes, himalFirst, steadyProbes, steadyFirst)
+	if himalProbes < 2*steadyProbes || himalFirst >= steadyFirst {
+		t.Error("the weights make no clear difference")
+	}
+}
--- a/internal/process/prober/prober.go
+++ b/internal/process/prober/prober.go
@@ -1,7 +1,6 @@
 package prober
 
 import (
-	"net/netip"
 	"sync"
 	"time"
 )
@@ -29,28 +28,28 @@
 	p.weights = weights
 }
 
-// Next claims a probe of the neediest candidate: Sent and Done must follow. When
-// it is false, nothing can change before the returned wait.
-func (p *Prober) Next(now time.Time, candidates []Candidate) (target netip.AddrPort, ok bool, wait time.Duration) {
+// Next claims a probe of the neediest candidate: Sent and Done must follow.
+// Without a claim, nothing can change before the returned wait.
+func (p *Prober) Next(now time.Time, candidates []Candidate) (*Claim, time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best, wait := p.neediest(now, candidates)
 	if best == nil {
-		return netip.AddrPort{}, false, wait
+		return nil, wait
 	}
-	if left, allowed := p.budget.Wait(now); !allowed {
-		return netip.AddrPort{}, false, Idling
-	} else if left > 0 {
-		return netip.AddrPort{}, false, left
+	wait, ok := p.budget.Wait(now)
+	if !ok {
+		return nil, Idling
 	}
-	if !p.budget.Take(now) {
-		return netip.AddrPort{}, false, Idling
+	if wait > 0 {
+		return nil, wait
 	}
-	return best.Target, true, 0
+	return p.budget.Claim(best.Target, now), 0
 }
 
 // neediest returns the due candidate with the most valuable reason, the longest
-// due first, or nil and the time until the first one is due.
+// due first, or nil and the time until the first one is due. A target that has
+// not answered its last probe gets no other.
 func (p *Prober) neediest(now time.Time, candidates []Candidate) (*Candidate, time.Duration) {
 	var best *Candidate
 	var since time.Time
@@ -58,7 +57,7 @@
 	for i := range candidates {
 		c := &candidates[i]
 		at, ok := p.weights.due(*c)
-		if !ok {
+		if !ok || p.budget.probing(c.Target) {
 			continue
 		}
 		if at.After(now) {
@@ -73,17 +72,19 @@
 }
 
 // Sent is called right before the claimed probe leaves; false forbids it.
-func (p *Prober) Sent(now time.Time) bool {
+func (p *Prober) Sent(c *Claim, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.budget.Sent(now)
+	return p.budget.Sent(c, now)
 }
 
-// Done ends the claimed probe, whatever became of it.
-func (p *Prober) Done(now time.Time) {
+// Done ends a claim, whatever became of it. A probe that timed out is done only
+// when its connection has ended: closing it takes nothing back that the target
+// has not read yet, so the driver leaves it open and waits for the answer.
+func (p *Prober) Done(c *Claim, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.budget.Done(now)
+	p.budget.Done(c, now)
 }
 
 // Count returns the number of probes sent since the start of the process.
