--- a/internal/process/assembler/probes.go
+++ b/internal/process/assembler/probes.go
@@ -12,7 +12,6 @@
 	"oriolecourse.example/oriolecourse/internal/process/prober"
 	"oriolecourse.example/oriolecourse/internal/process/tracker"
 	"oriolecourse.example/oriolecourse/internal/request/handler"
-	"oriolecourse.example/oriolecourse/internal/version/resolver"
 )
 
 const (
@@ -69,16 +68,16 @@
 		if policy == nil || policy.Probes == 0 || now.Before(p.next[k]) {
 			continue
 		}
-		target, ok, wait := v.prober.Next(now, p.candidates(k, v.dispatcher.Snapshot(now), now))
+		claim, wait := v.prober.Next(now, p.candidates(k, v.dispatcher.Snapshot(now), now))
 		p.next[k] = now.Add(wait)
-		if !ok {
+		if claim == nil {
 			continue
 		}
-		key := tracker.Key{Place: k.Place, Service: k.Service, Address: target}
+		key := tracker.Key{Place: k.Place, Service: k.Service, Address: claim.Target}
 		d := p.doubts[key]
 		d.same++
 		p.doubts[key] = d
-		go p.instance.ask(key, v, policy)
+		go p.instance.ask(key, v, claim)
 	}
 }
 
@@ -128,17 +127,17 @@
 // recently bad.
 const slow = 3
 
-// ask sends one probe and hands the answer to the parts that learn from it.
-func (i *Instance) ask(k tracker.Key, s *service, p *resolver.Policy) {
-	defer func() { s.prober.Done(time.Now()) }()
-	ctx, cancel := context.WithTimeout(context.Background(), p.Timeout)
-	defer cancel()
+// ask sends one probe and hands the answer to the parts that learn from it. It
+// waits for as long as the connection lives: a target that is stopped reads the
+// probe later, and the budget counts it until then.
+func (i *Instance) ask(k tracker.Key, s *service, c *prober.Claim) {
+	defer func() { s.prober.Done(c, time.Now()) }()
 	sent := time.Now()
-	if !s.prober.Sent(sent) {
+	if !s.prober.Sent(c, sent) {
 		return
 	}
 	i.accounts.Counters(accountant.Key{Place: k.Place, Service: k.Service}).Probes.Add(1)
-	a, _, err := i.sender.Send(ctx, k.Address, sender.Request{
+	a, _, err := i.sender.Send(context.Background(), k.Address, sender.Request{
 		Method: http.MethodGet,
 		Path:   healthPath,
 		Header: http.Header{headerProbe: {"1"}},
