--- a/internal/process/assembler/accounts.go
+++ b/internal/process/assembler/accounts.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"oriolecourse.example/oriolecourse/internal/process/accountant"
 	"oriolecourse.example/oriolecourse/internal/process/dispatcher"
@@ -32,6 +33,7 @@
 
 // settle adds a request and its outcome to the costs of its kind.
 func (i *Instance) settle(r *handler.Request, o *handler.Outcome) {
+	i.counters.count(o)
 	c := i.accounts.Counters(key(r.Policy))
 	c.Requests.Add(1)
 	c.In.Add(int64(len(r.Body)))
@@ -55,3 +57,18 @@
 	s := (*homes)[target]
 	i.accounts.Counters(accountant.Key{Place: s.Place, Service: s.Service}).Connections.Add(1)
 }
+
+// cost returns the accounts with the exchange between instances up to now.
+func (i *Instance) cost(now time.Time) accountant.Report {
+	var messages, bytes uint64
+	for _, t := range i.relayer.Traffic() {
+		if !t.Control() {
+			continue
+		}
+		messages += t.MessagesSent + t.MessagesReceived
+		bytes += t.BytesSent + t.BytesReceived
+	}
+	i.accounts.Messages.Store(int64(messages))
+	i.accounts.Bytes.Store(int64(bytes))
+	return i.accounts.Report(now)
+}
--- a/internal/process/assembler/instance.go
+++ b/internal/process/assembler/instance.go
@@ -38,6 +38,7 @@
 	table      *executor.Table
 	quarantine *quarantiner.Table
 	accounts   *accountant.Accountant
+	counters   counters
 	relayer    *relayer.Relayer
 	loads      *steerer.Loads
 	tokens     *tokens
@@ -69,6 +70,7 @@
 		services:    newServices(o.Zone, o.Policy),
 		quarantine:  quarantiner.New(quarantiner.DefaultLimits),
 		accounts:    accountant.New(o.Address, o.Zone, now),
+		counters:    newCounters(o.Scope),
 		loads:       steerer.NewLoads(),
 		changed:     make(chan struct{}, 1),
 	}
--- a/internal/process/assembler/run.go
+++ b/internal/process/assembler/run.go
@@ -44,7 +44,7 @@
 	return &server.Admin{
 		Ready:   func() bool { return i.ready.Load() && !i.leaving.Load() },
 		Page:    i.options.Page,
-		Cost:    i.accounts.Report,
+		Cost:    i.cost,
 		Explain: i.explain,
 		Peers:   i.peers,
 		Cut:     i.cut,
