Send each request to its target exactly once

Cause: http.Transport sends a request a second time by itself when the target closes a kept connection and the request has no body and either an idempotent method or an Idempotency-Key header. A kind that runs at most once may use any of these. Shown by TestSendsOnceBroken, where the target sees three of two requests.

Ruled out: a body without GetBody for every request; an empty one is then sent in chunks, which some targets refuse.

Change: a body that cannot be replayed for the methods that are, and the two headers under names that the transport does not look for.

--- a/internal/connection/sender/sender.go
+++ b/internal/connection/sender/sender.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"net/netip"
 	"net/url"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -104,17 +105,43 @@
 	q := &http.Request{
 		Method:        r.Method,
 		URL:           u,
-		Header:        r.Header,
+		Header:        unkeyed(r.Header),
 		Host:          u.Host,
 		ContentLength: int64(len(r.Body)),
-		// A body without GetBody keeps http.Transport from sending the request a
-		// second time by itself, which it does for any request with an
-		// Idempotency-Key header, whatever the method.
-		Body: io.NopCloser(bytes.NewReader(r.Body)),
+		Body:          single(r),
 	}
 	return q.WithContext(httptrace.WithClientTrace(ctx, hooks)), nil
 }
 
+// replayed are the methods that http.Transport sends a second time by itself when
+// the target closes a kept connection.
+var replayed = map[string]bool{
+	http.MethodGet: true, http.MethodHead: true, http.MethodOptions: true, http.MethodTrace: true,
+}
+
+// single returns a body that http.Transport cannot send a second time, since it
+// has no GetBody. An empty body of another method than those above needs none of
+// this and would be sent in chunks, which some targets refuse.
+func single(r Request) io.ReadCloser {
+	if len(r.Body) == 0 && !replayed[r.Method] {
+		return http.NoBody
+	}
+	return io.NopCloser(bytes.NewReader(r.Body))
+}
+
+// unkeyed writes the names of the headers that make http.Transport repeat any
+// request without a body in a case in which it does not know them.
+func unkeyed(h http.Header) http.Header {
+	kept := make(http.Header, len(h))
+	for name, list := range h {
+		if name == "Idempotency-Key" || name == "X-Idempotency-Key" {
+			name = strings.ToLower(name)
+		}
+		kept[name] = list
+	}
+	return kept
+}
+
 // errOpenEnded refuses an answer whose end is only marked by the end of its
 // connection, since a broken one cannot be told from a whole one.
 var errOpenEnded = errors.New("the answer has neither a length nor chunks")
--- a/internal/connection/sender/sender_test.go
+++ b/internal/connection/sender/sender_test.go
@@ -116,21 +116,37 @@
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
-// keyed is a request that http.Transport alone would repeat, because of its header.
-func keyed() Request {
-	return Request{Method: http.MethodPost, Path: "/", Header: http.Header{"Idempotency-Key": {"k"}}}
-}
+// keyed is the header that makes http.Transport repeat requests.
+var keyed = http.Header{"Idempotency-Key": {"k"}, "X-Idempotency-Key": {"k"}}
 
 func TestSendsOnce(t *testing.T) {
-	var runs atomic.Int64
-	target := dropSecond(t, &runs)
+	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPost, http.MethodPut, http.MethodDelete} {
+		t.Run(method, func(t *testing.T) {
+			var runs atomic.Int64
+			target := dropSecond(t, &runs)
+			s := &Sender{DialTimeout: time.Second}
+			r := Request{Method: method, Path: "/", Header: keyed}
+			_, effect, err := s.Send(context.Background(), target, r)
+			require.NoError(t, err)
+			require.Equal(t, Done, effect)
+			_, effect, _ = s.Send(context.Background(), target, r)
+			require.Equal(t, Lost, effect)
+			require.Equal(t, int64(2), runs.Load(), "each request reaches the target once")
+		})
+	}
+}
+
+func TestEmptyPostHasLength(t *testing.T) {
+	lengths := make(chan string, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		lengths <- q.Header.Get("Content-Length") + fmt.Sprint(q.TransferEncoding) + q.Header.Get("Idempotency-Key")
+		w.Header().Set("Content-Length", "0")
+	}))
+	defer server.Close()
 	s := &Sender{DialTimeout: time.Second}
-	_, effect, err := s.Send(context.Background(), target, keyed())
+	_, _, err := s.Send(context.Background(), netip.MustParseAddrPort(server.Listener.Addr().String()), Request{Method: http.MethodPost, Path: "/", Header: keyed})
 	require.NoError(t, err)
-	require.Equal(t, Done, effect)
-	_, effect, _ = s.Send(context.Background(), target, keyed())
-	require.Equal(t, Lost, effect)
-	require.Equal(t, int64(2), runs.Load(), "each request reaches the target once")
+	require.Equal(t, "0[]k", <-lengths)
 }
 
 // TestSendsOnceBroken shows that the check above sees the fault: the same
@@ -142,7 +158,7 @@
 	for range 2 {
 		q, err := http.NewRequest(http.MethodPost, "http://"+target.String()+"/", nil)
 		require.NoError(t, err)
-		q.Header = keyed().Header
+		q.Header = keyed
 		p, err := transport.RoundTrip(q)
 		require.NoError(t, err)
 		p.Body.Close()
