Try a lost idempotent request again, apart from other suspects

Cause: one loss made a request a suspect, and suspects got no second attempt, so every idempotent request in flight on a killed target ended as unknown. Ruled out: trying again at once beside other suspects; the next loss would not point at one request. Suspects of a service wait for each other's turn, and the second loss ends the request at once with when to come back. Before: outcome unknown after 1 attempt; after: done at the second target (TestOutcomes).

--- a/internal/request/handler/handler.go
+++ b/internal/request/handler/handler.go
@@ -64,16 +64,6 @@
 // connection; a request that may run only once goes on without the caller.
 func (h *Handler) Handle(ctx context.Context, r *Request) *Outcome {
 	r.fingerprint = r.sum()
-	service := quarantiner.Service{Place: r.Policy.Place, Service: r.Policy.Service}
-	verdict, retry := h.Quarantine.Enter(service, r.fingerprint, h.Clock())
-	switch verdict {
-	case quarantiner.Quarantined:
-		return Doubt(CauseQuarantine, retry)
-	case quarantiner.Busy:
-		return Refuse(CauseBusy, retry)
-	case quarantiner.Apart:
-		defer h.Quarantine.Leave(service, r.fingerprint)
-	}
 	if r.Policy.Once {
 		ctx = context.WithoutCancel(ctx)
 	}
@@ -84,7 +74,6 @@
 		request:    r,
 		dispatcher: h.Dispatcher(r.Policy.Place, r.Policy.Service),
 		results:    make(chan Attempt, attempts),
-		alone:      verdict == quarantiner.Apart,
 	}
 	return c.run(ctx)
 }
--- /dev/null
+++ b/internal/request/handler/handler_test.go
@@ -0,0 +1,251 @@
+package handler
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"oriolecourse.example/oriolecourse/internal/connection/sender"
+	"oriolecourse.example/oriolecourse/internal/process/dispatcher"
+	"oriolecourse.example/oriolecourse/internal/process/executor"
+	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
+	"oriolecourse.example/oriolecourse/internal/version/resolver"
+)
+
+// reply is what a fake target does with a sending.
+type reply struct {
+	// after delays the reply; a cancelled sending ends at once.
+	after  time.Duration
+	status int
+	effect sender.Effect
+}
+
+// never is longer than any deadline of these tests.
+const never = time.Minute
+
+var errReply = errors.New("no answer")
+
+// fake is a set of targets that share one script: the first sending meets the
+// first reply and so on; the last reply is repeated.
+type fake struct {
+	mutex   sync.Mutex
+	script  []reply
+	targets []netip.AddrPort
+	// ended counts sendings that have returned.
+	ended int
+	// losses counts what was told to peers.
+	losses int
+}
+
+func (f *fake) send(ctx context.Context, target netip.AddrPort, _ sender.Request) (*sender.Answer, sender.Effect, error) {
+	f.mutex.Lock()
+	n := len(f.targets)
+	r := f.script[min(n, len(f.script)-1)]
+	f.targets = append(f.targets, target)
+	f.mutex.Unlock()
+	defer func() { f.mutex.Lock(); f.ended++; f.mutex.Unlock() }()
+	select {
+	case <-ctx.Done():
+		return nil, sender.Lost, ctx.Err()
+	case <-time.After(r.after):
+	}
+	if r.effect == sender.Lost || r.effect == sender.Unsent {
+		return nil, r.effect, errReply
+	}
+	return &sender.Answer{Status: r.status, Header: http.Header{}, Body: []byte(strconv.Itoa(n))}, r.effect, nil
+}
+
+func (f *fake) sent() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return len(f.targets)
+}
+
+func policy(once bool) *resolver.Policy {
+	return &resolver.Policy{
+		Place: "p", Service: "s", Kind: "k", Once: once,
+		Deadline: 300 * time.Millisecond, Wait: 100 * time.Millisecond, Queue: 10, Retries: 0.5,
+		Hedge: 20 * time.Millisecond, Ratio: 0.5, Slots: 2, Spare: 1, Connections: 100, Fleet: 10,
+		Failures: 5, Eject: time.Second, Body: 1000,
+	}
+}
+
+func newHandler(f *fake, p *resolver.Policy, targets int) *Handler {
+	d := dispatcher.New(p.Place, p.Service)
+	var known []dispatcher.Target
+	for n := range targets {
+		known = append(known, dispatcher.Target{Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(n+1)), Owned: true})
+	}
+	d.Configure(p, known, time.Now())
+	return &Handler{
+		Dispatcher: func(string, string) *dispatcher.Dispatcher { return d },
+		Quarantine: quarantiner.New(quarantiner.DefaultLimits),
+		Send:       f.send,
+		Start:      func(*Request, netip.AddrPort) string { return "run" },
+		Observe:    func(*Request, netip.AddrPort, http.Header, time.Time, time.Time) {},
+		Tell:       func(quarantiner.Rumour) { f.mutex.Lock(); f.losses++; f.mutex.Unlock() },
+		Account:    func(*Request, Attempt) {},
+		Clock:      time.Now,
+		Tracer:     noop.NewTracerProvider().Tracer(""),
+	}
+}
+
+func request(p *resolver.Policy) *Request {
+	return NewRequest(p, http.MethodPost, "/k/x", http.Header{}, []byte("body"), time.Now())
+}
+
+func TestOutcomes(t *testing.T) {
+	done := reply{status: 200, effect: sender.Done}
+	failed := reply{status: 500, effect: sender.Done}
+	shed := reply{status: 503, effect: sender.Disowned}
+	lost := reply{effect: sender.Lost}
+	unsent := reply{effect: sender.Unsent}
+	hangs := reply{after: never, effect: sender.Done}
+	tests := []struct {
+		name    string
+		once    bool
+		targets int
+		script  []reply
+		kind    Kind
+		cause   Cause
+		sent    int
+	}{
+		{"idempotent: done", false, 3, []reply{done}, Done, CauseNone, 1},
+		{"idempotent: a failure is tried again elsewhere", false, 3, []reply{failed, done}, Done, CauseNone, 2},
+		{"idempotent: a loss is tried again elsewhere", false, 3, []reply{lost, done}, Done, CauseNone, 2},
+		{"idempotent: lost with two targets", false, 3, []reply{lost}, Unknown, CauseQuarantine, 2},
+		{"idempotent: shed is tried again elsewhere", false, 3, []reply{shed, done}, Done, CauseNone, 2},
+		{"idempotent: all shed", false, 3, []reply{shed}, Unrun, CauseBusy, 3},
+		{"idempotent: all refuse connections", false, 3, []reply{unsent}, Unrun, CauseTargets, 3},
+		{"idempotent: no answer", false, 1, []reply{hangs}, Unknown, CauseDeadline, 1},
+		{"idempotent: the second try wins", false, 3, []reply{hangs, done}, Done, CauseNone, 2},
+		{"idempotent: no target", false, 0, []reply{done}, Unrun, CauseTargets, 0},
+		{"once: done", true, 3, []reply{done}, Done, CauseNone, 1},
+		{"once: a failure is the answer", true, 3, []reply{failed, done}, Done, CauseNone, 1},
+		{"once: a loss stays unknown", true, 3, []reply{lost, done}, Unknown, CauseBroken, 1},
+		{"once: shed is sent elsewhere", true, 3, []reply{shed, done}, Done, CauseNone, 2},
+		{"once: no second try", true, 3, []reply{hangs, done}, Unknown, CauseDeadline, 1},
+		{"once: no target", true, 0, []reply{done}, Unrun, CauseTargets, 0},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fake{script: c.script}
+			p := policy(c.once)
+			o := newHandler(f, p, c.targets).Handle(context.Background(), request(p))
+			require.Equal(t, c.kind, o.Kind)
+			require.Equal(t, c.cause, o.Cause)
+			require.Equal(t, c.sent, f.sent())
+		})
+	}
+}
+
+func TestLoserIsCancelled(t *testing.T) {
+	f := &fake{script: []reply{{after: never, effect: sender.Done}, {status: 200, effect: sender.Done}}}
+	p := policy(false)
+	o := newHandler(f, p, 3).Handle(context.Background(), request(p))
+	require.Equal(t, "1", string(o.Body), "the answer is that of the second try")
+	require.Eventually(t, func() bool {
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		return f.ended == 2
+	}, time.Second, time.Millisecond, "the first try is cancelled")
+}
+
+func TestCrashingRequestIsContained(t *testing.T) {
+	f := &fake{script: []reply{{effect: sender.Lost}}}
+	p := policy(false)
+	h := newHandler(f, p, 5)
+	run := 0
+	h.Start = func(*Request, netip.AddrPort) string { run++; return strconv.Itoa(run) }
+	for range 6 {
+		h.Handle(context.Background(), request(p))
+	}
+	o := h.Handle(context.Background(), request(p))
+	require.Equal(t, CauseQuarantine, o.Cause)
+	require.True(t, o.Final)
+	require.Positive(t, o.Retry, "the caller is told when to come back")
+	require.LessOrEqual(t, f.sent(), 3, "few targets are lost")
+	f.script = []reply{{status: 200, effect: sender.Done}}
+	other := request(p)
+	other.Body = []byte("other")
+	require.Equal(t, Done, h.Handle(context.Background(), other).Kind, "other requests keep their targets")
+}
+
+func newOperator(f *fake, p *resolver.Policy) *Operator {
+	limits := executor.Limits{Epoch: time.Minute, Keep: time.Second, Forget: time.Minute, Capacity: 100, Epochs: 4, Bytes: 1 << 20}
+	return &Operator{
+		Table:   executor.New(netip.MustParseAddrPort("127.0.0.1:9"), 7, limits, time.Now()),
+		Handler: newHandler(f, p, 3),
+		Forward: func(context.Context, executor.Token, *Request) *Outcome { return Doubt(CauseUnreached, 0) },
+	}
+}
+
+func TestOperations(t *testing.T) {
+	tests := []struct {
+		name   string
+		script []reply
+		id     string
+		kind   Kind
+		cause  Cause
+		final  bool
+		fresh  bool
+		sent   int
+	}{
+		{"done once for all sendings", []reply{{status: 200, effect: sender.Done}}, "127.0.0.1:9~0000000000000007~1/a", Done, CauseNone, false, false, 1},
+		{"unknown is final", []reply{{effect: sender.Lost}}, "127.0.0.1:9~0000000000000007~1/a", Unknown, CauseBroken, true, false, 1},
+		{"shed gives a token for a new id", []reply{{status: 503, effect: sender.Disowned}}, "127.0.0.1:9~0000000000000007~1/a", Unrun, CauseBusy, false, true, 3},
+		{"no id", nil, "", Unrun, CauseOperation, false, true, 0},
+		{"no valid id", nil, "x/y", Unrun, CauseOperation, false, true, 0},
+		{"an epoch that never was", nil, "127.0.0.1:9~0000000000000007~9/a", Unknown, CauseForgotten, true, false, 0},
+		{"an earlier start of the executor", nil, "127.0.0.1:9~0000000000000008~1/a", Unknown, CauseGone, true, false, 0},
+		{"another executor out of reach", nil, "127.0.0.1:8~0000000000000008~1/a", Unknown, CauseUnreached, false, false, 0},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fake{script: c.script}
+			p := policy(true)
+			op := newOperator(f, p)
+			for range 3 {
+				r := request(p)
+				r.Operation = c.id
+				o := op.Handle(context.Background(), r)
+				require.Equal(t, c.kind, o.Kind)
+				require.Equal(t, c.cause, o.Cause)
+				require.Equal(t, c.final, o.Final)
+				require.Equal(t, c.fresh, o.Executor != "")
+				m := o.Message()
+				require.Equal(t, o.Cause, Read(m).Cause, "the message tells the outcome")
+				require.Equal(t, o.Kind, Read(m).Kind)
+			}
+			require.Equal(t, c.sent, f.sent())
+		})
+	}
+}
+
+func TestResendsBesideEachOther(t *testing.T) {
+	f := &fake{script: []reply{{after: 30 * time.Millisecond, status: 200, effect: sender.Done}}}
+	p := policy(true)
+	op := newOperator(f, p)
+	var group sync.WaitGroup
+	bodies := make([]string, 20)
+	for n := range bodies {
+		group.Go(func() {
+			r := request(p)
+			r.Operation = "127.0.0.1:9~0000000000000007~1/same"
+			bodies[n] = string(op.Handle(context.Background(), r).Body)
+		})
+	}
+	group.Wait()
+	for _, b := range bodies {
+		require.Equal(t, "0", b)
+	}
+	require.Equal(t, 1, f.sent())
+}
--- a/internal/request/handler/race.go
+++ b/internal/request/handler/race.go
@@ -50,6 +50,10 @@
 func (c *race) run(ctx context.Context) *Outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer c.leave()
+	if o := c.enter(ctx); o != nil {
+		return o
+	}
 	if o := c.begin(ctx, First); o != nil {
 		return o
 	}
@@ -198,8 +202,7 @@
 		h.Quarantine.Alive(run, begun, now)
 		h.Quarantine.Answered(r.fingerprint, now)
 	case a.Effect == sender.Lost && !a.Cancelled:
-		service := quarantiner.Service{Place: r.Policy.Place, Service: r.Policy.Service}
-		h.Tell(h.Quarantine.Lost(service, r.fingerprint, run, now))
+		h.Tell(h.Quarantine.Lost(r.service(), r.fingerprint, run, now))
 	}
 }
 
@@ -261,23 +264,64 @@
 
 // again makes a further attempt if the last one left that open.
 func (c *race) again(ctx context.Context, a Attempt) *Outcome {
-	if c.alone || c.made >= attempts {
-		return c.ended(reason(a), 0)
+	if c.alone {
+		return c.suspected(a)
 	}
-	now := c.handler.Clock()
-	if c.handler.Quarantine.Suspect(c.request.fingerprint, now) {
-		return c.ended(reason(a), quarantiner.BusyRetry)
+	if c.made >= attempts {
+		return c.ended(reason(a), 0)
 	}
-	ok, after := c.dispatcher.Retry(c.want(), ending(a), now)
+	ok, after := c.dispatcher.Retry(c.want(), ending(a), c.handler.Clock())
 	if !ok {
 		return c.ended(reason(a), 0)
 	}
+	if o := c.enter(ctx); o != nil {
+		return o
+	}
 	if err := pause(ctx, after); err != nil {
 		return c.expire(ctx)
 	}
 	return c.begin(ctx, Retry)
 }
 
+// turnPause is the time between two attempts to get the turn of a suspect.
+const turnPause = 2 * time.Millisecond
+
+// enter waits until a request that is suspected of crashing targets may run
+// apart from all other suspects; others pass at once.
+func (c *race) enter(ctx context.Context) *Outcome {
+	for {
+		verdict, retry := c.handler.Quarantine.Enter(c.request.service(), c.request.fingerprint, c.handler.Clock())
+		switch verdict {
+		case quarantiner.Quarantined:
+			return Doubt(CauseQuarantine, retry)
+		case quarantiner.Apart:
+			c.alone = true
+			return nil
+		case quarantiner.Free:
+			return nil
+		}
+		if err := pause(ctx, turnPause); err != nil {
+			return c.expire(ctx)
+		}
+	}
+}
+
+// suspected ends a request that has had its turn as a suspect.
+func (c *race) suspected(a Attempt) *Outcome {
+	verdict, retry := c.handler.Quarantine.Enter(c.request.service(), c.request.fingerprint, c.handler.Clock())
+	if verdict == quarantiner.Quarantined {
+		return Doubt(CauseQuarantine, retry)
+	}
+	return c.ended(reason(a), 0)
+}
+
+// leave gives the turn of a suspect back.
+func (c *race) leave() {
+	if c.alone {
+		c.handler.Quarantine.Leave(c.request.service(), c.request.fingerprint)
+	}
+}
+
 // pause waits, or returns the error of a context that ends before.
 func pause(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
--- a/internal/request/handler/request.go
+++ b/internal/request/handler/request.go
@@ -99,6 +99,11 @@
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
+// service names the service for the quarantine.
+func (r *Request) service() quarantiner.Service {
+	return quarantiner.Service{Place: r.Policy.Place, Service: r.Policy.Service}
+}
+
 // Strip returns a copy of the headers without those of one connection and
 // without those of the callers' interface.
 func Strip(h http.Header) http.Header {
