--- /dev/null
+++ b/internal/process/watcher/election.go
@@ -0,0 +1,37 @@
+package watcher
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Readers is the number of instances that keep a waiting watch on a document.
+const Readers = 3
+
+// Elected reports whether self is one of the readers of a document among the
+// members, which need not contain self. Instances with the same members agree;
+// while views differ there may be a few readers more or less.
+func Elected(self netip.AddrPort, members []netip.AddrPort, kind Kind) bool {
+	own := weight(self, kind)
+	above := 0
+	for _, m := range members {
+		if m != self && weight(m, kind) > own {
+			if above++; above == Readers {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// weight is the rendezvous hash of a member for a document.
+func weight(m netip.AddrPort, kind Kind) uint64 {
+	var b [20]byte
+	address := m.Addr().As16()
+	copy(b[:], address[:])
+	binary.BigEndian.PutUint16(b[16:], m.Port())
+	b[18] = byte(kind)
+	return xxhash.Sum64(b[:])
+}
