--- a/internal/process/server/admin.go
+++ b/internal/process/server/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -45,6 +46,8 @@
 	e.GET("/v1/cost", func(x echo.Context) error { return x.JSON(http.StatusOK, a.Cost(time.Now())) })
 	e.GET("/v1/explain", func(x echo.Context) error { return x.JSON(http.StatusOK, a.Explain(time.Now())) })
 	e.GET("/v1/peers", func(x echo.Context) error { return x.JSON(http.StatusOK, a.Peers()) })
+	e.GET("/debug/pprof/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
+	e.GET("/debug/pprof/*", echo.WrapHandler(http.HandlerFunc(pprof.Index)))
 	e.PUT("/v1/cuts/:address", func(x echo.Context) error { return a.cut(x, true) })
 	e.DELETE("/v1/cuts/:address", func(x echo.Context) error { return a.cut(x, false) })
 	return e
