--- a/internal/process/assembler/answers.go
+++ b/internal/process/assembler/answers.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"oriolecourse.example/oriolecourse/internal/process/detector"
@@ -24,6 +25,10 @@
 	if i.options.Spread {
 		named = i.everyone()
 	}
+	if place != i.options.Place {
+		// The last resort of a plan is this instance, which does not serve the place.
+		named = slices.DeleteFunc(named, func(m detector.Member) bool { return m.Instance.Place != place })
+	}
 	a := &server.Answer{Service: name, Place: place, Keep: s.Service(place, name).Keep.String()}
 	for _, m := range named {
 		a.Addresses = append(a.Addresses, m.Instance.Address)
--- a/internal/process/server/callers.go
+++ b/internal/process/server/callers.go
@@ -69,6 +69,10 @@
 	if a == nil {
 		return x.String(http.StatusNotFound, "the settings have no such service\n")
 	}
+	if len(a.Addresses) == 0 {
+		x.Response().Header().Set("Retry-After", "1")
+		return x.String(http.StatusServiceUnavailable, "no instance of the place can be reached\n")
+	}
 	return x.JSON(http.StatusOK, a)
 }
 
