--- a/internal/version/parser/rule.go
+++ b/internal/version/parser/rule.go
@@ -113,3 +113,22 @@
 	v := recordsByName[name]
 	return v.form.write(v.field.get(p))
 }
+
+// RuleText describes a rule on the reference page.
+type RuleText struct {
+	// Subject and Other are the two settings.
+	Subject, Other string
+	// Text says why they exclude each other.
+	Text string
+	// Adapts says that an inherited subject gives way.
+	Adapts bool
+}
+
+// RuleTexts lists the rules between settings.
+func RuleTexts() []RuleText {
+	texts := make([]RuleText, 0, len(rules))
+	for _, v := range rules {
+		texts = append(texts, RuleText{Subject: v.subject, Other: v.other, Text: v.text, Adapts: v.adapt != nil})
+	}
+	return texts
+}
--- a/internal/version/parser/tree.go
+++ b/internal/version/parser/tree.go
@@ -22,7 +22,7 @@
 )
 
 var (
-	labelShape   = regexp.MustCompile(`^[A-Za-z0-9_-]{1,64}$`)
+	labelShape   = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,63}$`)
 	versionShape = regexp.MustCompile(`^[0-9]{1,16}$`)
 )
 
@@ -154,7 +154,7 @@
 func (r *reader) children(n *yaml.Node, path string, level Level, parent *layer) {
 	for _, p := range r.mapping(n, path) {
 		if !labelShape.MatchString(p.key) {
-			r.add(p.path, p.line, TitleLabel, "the name of a %s has 1 to 64 letters, digits, - or _", level)
+			r.add(p.path, p.line, TitleLabel, "the name of a %s has 1 to 64 of a-z, 0-9 and -", level)
 			continue
 		}
 		child := &layer{level: level, name: p.key, path: p.path, parent: parent}
