Watch the platform by elected readers in place of polling

Cause: each instance read both documents each second, 2 calls/s per instance (320 calls in 20 s by 8 instances, idle, settings of 210 services).

--- a/internal/process/assembler/platform.go
+++ b/internal/process/assembler/platform.go
@@ -1,33 +1,51 @@
 package assembler
 
 import (
-	"io"
-	"net/http"
+	"net/netip"
 	"time"
+
+	"oriolecourse.example/oriolecourse/internal/process/adopter"
+	"oriolecourse.example/oriolecourse/internal/process/detector"
+	"oriolecourse.example/oriolecourse/internal/process/watcher"
 )
 
-// poll reads the platform's documents until done is closed.
-func (i *Instance) poll(done <-chan struct{}) error {
-	t := time.NewTicker(time.Second)
-	defer t.Stop()
-	for {
-		i.fetch("/v1/settings?after=0", func(text []byte) { i.settings.Offer(text, 0, 0, time.Now()) })
-		i.fetch("/v1/list?after=0", func(text []byte) { i.list.Offer(text, 0, 0, time.Now()) })
-		select {
-		case <-done:
-			return nil
-		case <-t.C:
+func (i *Instance) newWatcher() *watcher.Watcher {
+	w := &watcher.Watcher{
+		Platform: i.options.Platform,
+		Self:     i.options.Peer,
+		Members:  i.alive,
+		Stamp:    i.stamp,
+		Offer:    i.read,
+		Logger:   i.options.Logger,
+		Scope:    i.options.Scope,
+	}
+	w.Prepare()
+	return w
+}
+
+// alive returns the peers that are believed alive, this instance included.
+func (i *Instance) alive() []netip.AddrPort {
+	found := []netip.AddrPort{i.options.Peer}
+	for _, m := range i.relayer.Members() {
+		if m.State == detector.Alive {
+			found = append(found, m.Instance.Peer)
 		}
 	}
+	return found
 }
 
-func (i *Instance) fetch(path string, offer func(text []byte)) {
-	p, err := http.Get(i.options.Platform + path)
-	if err != nil {
-		return
+// stamp returns the stamp of the document in force.
+func (i *Instance) stamp(k watcher.Kind) adopter.Stamp {
+	if k == watcher.Settings {
+		return i.settings.Stamp()
 	}
-	defer p.Body.Close()
-	if text, err := io.ReadAll(p.Body); err == nil && p.StatusCode == http.StatusOK {
-		offer(text)
+	return i.list.Stamp()
+}
+
+// read takes a document that the platform has given.
+func (i *Instance) read(k watcher.Kind, text []byte, now time.Time) adopter.Verdict {
+	if k == watcher.Settings {
+		return i.settings.Offer(text, 0, 0, now)
 	}
+	return i.list.Offer(text, 0, 0, now)
 }
--- a/internal/process/assembler/run.go
+++ b/internal/process/assembler/run.go
@@ -16,7 +16,8 @@
 	var g run.Group
 	i.addLoop(&g, i.refresh)
 	i.addLoop(&g, i.probe)
-	i.addLoop(&g, i.poll)
+	w := i.newWatcher()
+	g.Add(w.Run, func(error) { w.Stop() })
 	g.Add(i.relayer.Run, func(error) { i.relayer.Stop() })
 	if err := i.addAdmin(&g, i.options.Admin, i.admin().Router()); err != nil {
 		return trace.Wrap(err)
