--- a/internal/standin/starter/fleet.go
+++ b/internal/standin/starter/fleet.go
@@ -11,6 +11,9 @@
 	"testing"
 	"time"
 
+	"oriolecourse.example/oriolecourse/internal/process/accountant"
+	"oriolecourse.example/oriolecourse/internal/process/assembler"
+	"oriolecourse.example/oriolecourse/internal/standin/loader"
 	"oriolecourse.example/oriolecourse/internal/standin/recorder"
 	"oriolecourse.example/oriolecourse/internal/version/lister"
 )
@@ -218,3 +221,67 @@
 	}
 	return string(text)
 }
+
+// Explain returns what an instance believes, and whether it could be asked.
+func (i *Instance) Explain() (assembler.Explanation, bool) {
+	var e assembler.Explanation
+	text, status, err := Call(http.MethodGet, i.Admin, "/v1/explain", "")
+	if err != nil || status != http.StatusOK || json.Unmarshal(text, &e) != nil {
+		return e, false
+	}
+	return e, true
+}
+
+// Cut forbids the exchange between two instances, both ways.
+func (f *Fleet) Cut(t testing.TB, one, other *Instance) {
+	t.Helper()
+	f.must(t, http.MethodPut, one.Admin, "/v1/cuts/"+other.Entry.Peer.String(), "")
+	f.must(t, http.MethodPut, other.Admin, "/v1/cuts/"+one.Entry.Peer.String(), "")
+}
+
+// Heal allows the exchange between two instances again.
+func (f *Fleet) Heal(t testing.TB, one, other *Instance) {
+	t.Helper()
+	f.must(t, http.MethodDelete, one.Admin, "/v1/cuts/"+other.Entry.Peer.String(), "")
+	f.must(t, http.MethodDelete, other.Admin, "/v1/cuts/"+one.Entry.Peer.String(), "")
+}
+
+// Callers returns the callers' addresses of some instances.
+func Callers(instances ...*Instance) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, i := range instances {
+		addresses = append(addresses, i.Entry.Address)
+	}
+	return addresses
+}
+
+// Load sends a load in the background; the channel gives the result.
+func Load(t testing.TB, s loader.Settings) <-chan *loader.Result {
+	t.Helper()
+	results := make(chan *loader.Result, 1)
+	go func() {
+		defer close(results)
+		result, err := loader.Run(t.Context(), s)
+		if err != nil {
+			t.Errorf("the load failed: %v", err)
+			result = &loader.Result{}
+		}
+		results <- result
+	}()
+	return results
+}
+
+// Served returns the number of requests that an instance has accounted for.
+func (i *Instance) Served(t testing.TB) int64 {
+	t.Helper()
+	var r accountant.Report
+	text, status, err := Call(http.MethodGet, i.Admin, "/v1/cost", "")
+	if err != nil || status != http.StatusOK || json.Unmarshal(text, &r) != nil {
+		t.Fatalf("%s gives no accounts: status %d, %v", i.Name, status, err)
+	}
+	served := int64(0)
+	for _, l := range r.Lines {
+		served += l.Requests
+	}
+	return served
+}
--- a/internal/standin/worker/faults.go
+++ b/internal/standin/worker/faults.go
@@ -43,8 +43,9 @@
 	// cold multiplies service times at coldStart, less and less until coldEnd.
 	cold             float64
 	coldFrom, coldTo time.Time
-	// drain announces leaving, refuse also refuses new work meanwhile.
-	drain, refuse bool
+	// drain announces leaving, refuse also refuses new work meanwhile, silent
+	// leaves without telling anybody.
+	drain, refuse, silent bool
 	// shed refuses work, fail answers it with an error at once.
 	shed, fail bool
 	// mute leaves the load report out, lag makes it old.
@@ -94,10 +95,10 @@
 	},
 	"drain": {
 		on: func(f *faults, p []string, _ time.Time) error {
-			f.drain, f.refuse = true, p[0] == "refuse"
+			f.drain, f.refuse, f.silent = true, p[0] == "refuse", p[0] == "silent"
 			return nil
 		},
-		off: func(f *faults) { f.drain, f.refuse = false, false },
+		off: func(f *faults) { f.drain, f.refuse, f.silent = false, false, false },
 	},
 	"shed":       flag(func(f *faults) *bool { return &f.shed }),
 	"failfast":   flag(func(f *faults) *bool { return &f.fail }),
@@ -189,7 +190,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
-	case f.drain:
+	case f.drain && !f.silent:
 		return draining
 	case f.shed:
 		return shedding
