Plan the homes anew only when their inputs change

Cause: each refresh built the plan of all services anew, four times a second; its cost grows with services times members. It was also called from the start beside the refresher, a race on its state. Change: the planner keeps its inputs and the plan; a refresh each 500 ms.

--- a/internal/process/assembler/answers.go
+++ b/internal/process/assembler/answers.go
@@ -51,24 +51,6 @@
 	return all
 }
 
-// planned returns the homes of all services under the present view.
-func (i *Instance) planned(s *resolver.Snapshot, now time.Time) *steerer.Plan {
-	services := make([]steerer.Service, 0, len(s.Services))
-	for k, p := range s.Services {
-		services = append(services, steerer.Service{
-			Place:  k.Place,
-			Name:   k.Service,
-			Homes:  p.Homes,
-			Active: i.active(p, now),
-		})
-	}
-	return steerer.Build(steerer.View{
-		Self:    i.relayer.Self(),
-		Members: i.relayer.Members(),
-		Load:    i.loads.Instances(now),
-	}, services)
-}
-
 // active returns the number of homes that the call rate of a service needs.
 func (i *Instance) active(p *resolver.Policy, now time.Time) int {
 	v := i.services.get(p.Place, p.Service, now)
--- a/internal/process/assembler/instance.go
+++ b/internal/process/assembler/instance.go
@@ -46,6 +46,8 @@
 	handler    *handler.Handler
 	operator   *handler.Operator
 
+	// planner is used by the refresher only.
+	planner planner
 	// plan holds the homes of all services.
 	plan atomic.Pointer[steerer.Plan]
 	// ready is set when callers are served, leaving when the instance will stop.
--- a/internal/process/assembler/life.go
+++ b/internal/process/assembler/life.go
@@ -88,8 +88,8 @@
 		// Only the list has told which peers there are.
 		l.catchup()
 	}
-	i.apply(time.Now())
-	return true
+	i.wake()
+	return l.await(func() bool { return i.plan.Load() != nil })
 }
 
 func (l *life) catchup() {
--- a/internal/process/assembler/refresher.go
+++ b/internal/process/assembler/refresher.go
@@ -11,7 +11,7 @@
 
 // refreshPeriod bounds the delay of changes that come with time alone, such as
 // the end of a target's grace.
-const refreshPeriod = 250 * time.Millisecond
+const refreshPeriod = 500 * time.Millisecond
 
 // refresh puts what is known into force until done is closed.
 func (i *Instance) refresh(done <-chan struct{}) error {
@@ -34,8 +34,7 @@
 	if s == nil {
 		return
 	}
-	plan := i.planned(s, now)
-	i.plan.Store(plan)
+	plan := i.planner.build(i, s, now)
 	homes := map[netip.AddrPort]tracker.Service{}
 	l := limits(nil)
 	for key, p := range s.Services {
@@ -53,6 +52,7 @@
 	}
 	i.forget(homes)
 	i.table.Configure(l, now)
+	i.plan.Store(plan)
 }
 
 // forget closes the connections to targets that are no longer used.
