tracker: prove that a leaving run stays out

Random truths of two targets, told late, again and out of order, found six faults in the first form, each mended at its cause: an answer's arrival was taken for the time at which the target spoke; a run of the first list counted as seen at no time; leaving runs that were ignored as late were not remembered; a later run's sign did not bar answers sent before it; a list that names a new run ended a suspicion; a list that lags by more than a minute replaced a run that answers. Trackers that forget ended runs, always believe the list, or let draining run out are rejected.

--- a/internal/process/tracker/judge.go
+++ b/internal/process/tracker/judge.go
@@ -11,7 +11,7 @@
 func (t *Tracker) name(k Key, l lister.Target, now time.Time) bool {
 	e := t.entries[k]
 	if e == nil {
-		e = newEntry(k)
+		e = newEntry(k, now)
 		if t.read {
 			e.since = now
 		}
@@ -33,12 +33,15 @@
 	case e.start == "":
 		e.start = l.Start
 		return e.set(state, now)
-	case !e.met || word == e.start || now.Sub(latest(e.since, e.signed)) >= Settle:
+	case !e.met || word == e.start || e.state == Draining && now.Sub(e.signed) >= Settle:
 		return t.replace(e, l, now)
 	}
 	// The run was met and the list never named it: the list's word may be about
-	// an earlier run.
+	// an earlier run. A later one will answer for itself.
 	t.ignored.Add(1)
+	if l.State == lister.Leaving {
+		e.warn(l.Start, now)
+	}
 	return false
 }
 
@@ -71,25 +74,25 @@
 			e.listed, e.omitted = false, now
 			e.mass = 2*gone[s] > listed[s]
 		}
-		if !e.listed && now.Sub(latest(e.omitted, e.since, e.signed)) >= Forget {
+		if !e.listed && now.Sub(latest(e.omitted, e.seen, e.signed)) >= Forget {
 			delete(t.entries, k)
 		}
 	}
 }
 
-// ended reports whether evidence is about a run that ended before the present
-// one: either it is known to, or its request was sent before the present run was seen.
+// ended reports whether evidence is about a run that has ended: either it is
+// known to, or its request was sent before a later run was first heard of.
 func (e *entry) ended(v Evidence) bool {
 	if v.Start == "" || v.Start == e.start {
 		return false
 	}
-	return e.hasLeft(v.Start) || e.start != "" && v.Sent.Before(e.since)
+	return e.hasLeft(v.Start) || e.start != "" && v.Sent.Before(latest(e.seen, e.warned))
 }
 
 // answer takes in what the target said about a run that has not ended, and
 // reports whether that began to drain.
 func (e *entry) answer(v Evidence, now time.Time) bool {
-	e.heard.Store(now.UnixNano())
+	hear(e.heard, v.Sent)
 	if v.Start != "" && e.start != "" && v.Start != e.start {
 		e.begin(v.Start, v.State, true, now)
 		return v.State == Draining
@@ -113,12 +116,7 @@
 		e.start, e.met = r.Start, true
 		return e.set(Draining, sign)
 	}
-	// Nobody here has met that run: it may have come before or after the present
-	// one. It can never become usable, and the target itself has to tell.
-	e.leave(r.Start)
-	if e.heard.Load() < sign.UnixNano() {
-		e.suspected = sign
-	}
+	e.warn(r.Start, sign)
 	return true
 }
 
--- /dev/null
+++ b/internal/process/tracker/session_test.go
@@ -0,0 +1,104 @@
+package tracker
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"oriolecourse.example/oriolecourse/internal/standin/narrator"
+	"oriolecourse.example/oriolecourse/internal/version/lister"
+)
+
+func address(number string) netip.AddrPort {
+	last, _ := strconv.Atoi(number)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(last)}), 80)
+}
+
+func key(number string) Key {
+	return Key{Place: "himal", Service: "lookup", Address: address(number)}
+}
+
+// list reads "REVISION NUMBER.START[.leaving]...".
+func list(args []string) *lister.List {
+	revision, _ := strconv.ParseUint(args[0], 10, 64)
+	l := &lister.List{Revision: revision}
+	for _, text := range args[1:] {
+		fields := append(strings.Split(text, "."), "", "")
+		target := lister.Target{Address: address(fields[0]), Place: "himal", Service: "lookup", State: lister.Live, Start: fields[1]}
+		if fields[2] == "leaving" {
+			target.State = lister.Leaving
+		}
+		l.Targets = append(l.Targets, target)
+	}
+	return l
+}
+
+func replay(t *Tracker) func(narrator.Event) string {
+	return func(e narrator.Event) string {
+		var told []Rumour
+		switch e.Verb {
+		case "list":
+			told = t.List(list(e.Args), e.Now)
+		case "answer":
+			// NUMBER.START STATE [AGE of the request]
+			number, start, _ := strings.Cut(e.Arg(0), ".")
+			age, _ := time.ParseDuration(e.Arg(2))
+			told = t.Observe(Evidence{Key: key(number), Start: start, State: ParseState(e.Arg(1)), Sent: e.Now.Add(-age)}, e.Now)
+		case "hear":
+			number, start, _ := strings.Cut(e.Arg(0), ".")
+			age, _ := time.ParseDuration(e.Arg(1))
+			return fmt.Sprintf("new %t; ", t.Hear(Rumour{Key: key(number), Start: start, Age: age}, e.Now)) + usable(t, e.Now)
+		case "usable":
+		default:
+			return "unknown verb"
+		}
+		text := usable(t, e.Now)
+		for _, r := range told {
+			text += fmt.Sprintf("; tell peers that %d.%s leaves", r.Key.Address.Addr().As4()[3], r.Start)
+		}
+		return text
+	}
+}
+
+func usable(t *Tracker, now time.Time) string {
+	var names []string
+	for _, target := range t.Usable("himal", "lookup", now) {
+		name := fmt.Sprintf("%d.%s", target.Address.Addr().As4()[3], target.Start)
+		if target.State == Warming {
+			name += " warming"
+		}
+		if !target.Since.IsZero() {
+			name += " since " + target.Since.Sub(narrator.Epoch).String()
+		}
+		names = append(names, name)
+	}
+	return "usable [" + strings.Join(names, ", ") + "]"
+}
+
+func TestSessions(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.session")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no sessions", err)
+	}
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".session")
+		t.Run(name, func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := narrator.Replay(string(text), replay(New()))
+			if err != nil {
+				t.Fatal(err)
+			}
+			goldie.New(t, goldie.WithFixtureDir("testdata"), goldie.WithNameSuffix(".session")).Assert(t, name, []byte(got))
+		})
+	}
+}
--- a/internal/process/tracker/target.go
+++ b/internal/process/tracker/target.go
@@ -54,10 +54,11 @@
 	// Since is when the run was first seen, zero when it was in the first list
 	// that this instance read and may have been running for long.
 	Since time.Time
-	// Suspected means that a peer told of a leaving run that is unknown here. The
+	// Suspected means that a run that is unknown here was said to be leaving. The
 	// target gets no new work until it has answered a probe or a request.
 	Suspected bool
-	// Heard is when the target itself last told anything, zero if never.
+	// Heard is when the newest request was sent that the target has answered,
+	// zero if none.
 	Heard time.Time
 }
 
@@ -111,6 +112,8 @@
 	state State
 	// since is when the present run was first seen; zero when at the first list.
 	since time.Time
+	// seen is when the present run was first heard of.
+	seen time.Time
 	// signed is when the run was first said to be leaving.
 	signed time.Time
 	// met means that the run itself or a peer has told of it, not only the list.
@@ -122,17 +125,20 @@
 	omitted time.Time
 	// mass means that most of the service's targets were omitted at once.
 	mass bool
-	// suspected is when a peer told of a leaving run that is unknown here.
+	// suspected is when a run that is unknown here was said to be leaving.
 	suspected time.Time
+	// warned is the latest sign that a run other than the present one is leaving.
+	warned time.Time
 	// left holds runs that have ended or are leaving, the oldest first. The
 	// present run is never in it.
 	left []string
-	// heard is the Unix time in nanoseconds of the last answer. Snapshots share it.
+	// heard is the Unix time in nanoseconds at which the newest request was sent
+	// that the target has answered; it only grows. Snapshots share it.
 	heard *atomic.Int64
 }
 
-func newEntry(k Key) *entry {
-	return &entry{key: k, heard: new(atomic.Int64)}
+func newEntry(k Key, now time.Time) *entry {
+	return &entry{key: k, seen: now, heard: new(atomic.Int64)}
 }
 
 func (e *entry) hasLeft(start string) bool {
@@ -154,11 +160,27 @@
 	}
 }
 
-// begin puts a new run in the place of the present one.
+// warn takes in a sign that a run which nobody here has met is leaving. It may
+// have come before or after the present one. It can never become usable, and the
+// target is suspected unless it has answered what was sent after the sign.
+func (e *entry) warn(start string, sign time.Time) {
+	e.leave(start)
+	e.warned = latest(e.warned, sign)
+	if e.heard.Load() < sign.UnixNano() {
+		e.suspected = latest(e.suspected, sign)
+	}
+}
+
+// begin puts a new run in the place of the present one. Only a run that was met
+// ends a suspicion.
 func (e *entry) begin(start string, state State, met bool, now time.Time) {
 	e.leave(e.start)
-	e.start, e.state, e.met, e.since = start, Ready, met, now
-	e.signed, e.suspected = time.Time{}, time.Time{}
+	e.start, e.state, e.met = start, Ready, met
+	e.since, e.seen = now, now
+	e.signed = time.Time{}
+	if met {
+		e.suspected = time.Time{}
+	}
 	e.set(state, now)
 }
 
@@ -174,3 +196,13 @@
 	e.signed = now
 	return true
 }
+
+// hear raises the time to which a target is known to have answered.
+func hear(heard *atomic.Int64, sent time.Time) {
+	n := sent.UnixNano()
+	for old := heard.Load(); old < n; old = heard.Load() {
+		if heard.CompareAndSwap(old, n) {
+			return
+		}
+	}
+}
--- a/internal/process/tracker/tracker.go
+++ b/internal/process/tracker/tracker.go
@@ -55,14 +55,21 @@
 // Observe takes in what a target itself said.
 func (t *Tracker) Observe(v Evidence, now time.Time) []Rumour {
 	if known := t.current.Load().views[v.Key]; known != nil && known.repeats(v) {
-		known.heard.Store(now.UnixNano())
+		hear(known.heard, v.Sent)
 		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[v.Key]
-	if e == nil || e.ended(v) {
+	if e == nil {
+		return nil
+	}
+	if e.ended(v) {
 		t.ignored.Add(1)
+		if v.State == Draining {
+			e.warn(v.Start, v.Sent)
+			t.publish()
+		}
 		return nil
 	}
 	began := e.answer(v, now)
@@ -86,8 +93,7 @@
 		if len(t.entries) >= maxUnlisted+t.listed() {
 			return false
 		}
-		e = newEntry(r.Key)
-		e.since = now
+		e = newEntry(r.Key, now)
 		t.entries[r.Key] = e
 	}
 	if !e.told(r, now) {
