--- a/internal/process/accountant/table.go
+++ b/internal/process/accountant/table.go
@@ -38,7 +38,7 @@
 	{"connections", func(l Line) string { return number(l.Connections) }},
 	{"retries", func(l Line) string { return number(l.Retries) }},
 	{"second tries", func(l Line) string { return number(l.Hedges) }},
-	{"per 1000", perThousand},
+	{"added per 1000 requests", perThousand},
 }
 
 // perThousand relates the tries that oversight added to the requests served.
@@ -54,7 +54,7 @@
 
 // Write prints the bill as tables.
 func (b Bill) Write(w io.Writer) error {
-	fmt.Fprintf(w, "cost of %d instances from %s to %s\n", b.Reports, stamp(b.Since), stamp(b.Until))
+	fmt.Fprintf(w, "cost from %s to %s; instances that gave a report: %d\n", stamp(b.Since), stamp(b.Until), b.Reports)
 	fmt.Fprintln(w, b.gaps())
 	lines := b.withTotals()
 	if err := section(w, "work: what callers asked for", workColumns, lines); err != nil {
@@ -83,7 +83,7 @@
 	if len(b.Missing) == 0 {
 		return "missing: no live instance; " + ended
 	}
-	return fmt.Sprintf("missing: %d instances gave no report (%s); %s",
+	return fmt.Sprintf("missing: %d gave no report (%s); %s",
 		len(b.Missing), strings.Join(b.Missing, ", "), ended)
 }
 
--- a/internal/process/commander/commander.go
+++ b/internal/process/commander/commander.go
@@ -37,7 +37,7 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	c.AddCommand(newServe(), newAsk(), newCallers(), newVersion())
+	c.AddCommand(newServe(), newAsk(), newCallers(), newCost(), newExplain(), newVersion())
 	return c
 }
 
