--- /dev/null
+++ b/internal/version/parser/fault_test.go
@@ -0,0 +1,154 @@
+package parser
+
+import (
+	"errors"
+	"fmt"
+	"math/rand"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// kindOf is a tree with the given settings at each level of one kind.
+func kindOf(root, place, service, kind string) string {
+	return fmt.Sprintf("version: 1\nsettings: {%s}\nplaces:\n  p:\n    settings: {%s}\n    services:\n      s:\n        settings: {%s}\n        kinds:\n          k: {%s}\n",
+		root, place, service, kind)
+}
+
+const kindPath = "places.p.services.s.kinds.k."
+
+func TestFaults(t *testing.T) {
+	for _, v := range []struct {
+		name, text string
+		// want holds path and title of each fault.
+		want []string
+	}{
+		{"empty", "", []string{": " + TitleVersion}},
+		{"comment only", "# nothing\n", []string{": " + TitleVersion}},
+		{"no version", "places: {}\n", []string{"version: " + TitleVersion}},
+		{"version as text", "version: seven\n", []string{"version: " + TitleVersion}},
+		{"negative version", "version: -1\n", []string{"version: " + TitleVersion}},
+		{"two documents", "version: 1\n---\nversion: 2\n", []string{": " + TitleShape}},
+		{"syntax", "version: [1\n", []string{": " + TitleSyntax}},
+		{"a list", "- version: 1\n", []string{"version: " + TitleVersion, ": " + TitleShape}},
+		{"too large", "version: 1 #" + strings.Repeat("x", MaxSize), []string{": " + TitleSize}},
+		{"cycle", "version: 1\nplaces: &p\n  himal: *p\n", []string{"places.himal: " + TitleCycle}},
+		{"cycle through a list", "version: 1\nplaces: &p [a, *p]\n", []string{"places: " + TitleCycle}},
+		{"merge key", "version: 1\nsettings: &s {fleet: 8}\nplaces: {p: {settings: {<<: *s}}}\n", []string{"places.p.settings.<<: " + TitleName}},
+		{"name", "version: 1\nplaces: {P_1: {}}\n", []string{"places.P_1: " + TitleLabel}},
+		{"complex key", "version: 1\nplaces: {[a]: {}}\n", []string{"places: " + TitleShape}},
+		{"list as value", kindOf("", "", "", "deadline: [1s]"), []string{kindPath + "deadline: " + TitleShape}},
+		{"null value", kindOf("", "", "", "deadline: "), []string{kindPath + "deadline: " + TitleUnit}},
+		{"negative duration", kindOf("", "", "", "deadline: -1s"), []string{kindPath + "deadline: " + TitleUnit}},
+		{"endless duration", kindOf("", "", "", "deadline: 99999999999999h"), []string{kindPath + "deadline: " + TitleUnit}},
+		{"not a number", kindOf("ratio: .nan", "", "", ""), []string{"settings.ratio: " + TitleUnit}},
+		{"yes for true", kindOf("", "", "", "once: yes"), []string{kindPath + "once: " + TitleUnit}},
+		{"size in MB", kindOf("body: 1MB", "", "", ""), []string{"settings.body: " + TitleUnit}},
+		{"wait beyond deadline", kindOf("", "", "", "wait: 3s, deadline: 1s"), []string{kindPath + "wait: " + TitleConflict}},
+		{"forgotten too early", kindOf("forget: 5s", "", "", "once: true, deadline: 10s"), []string{kindPath + "deadline: " + TitleConflict}},
+		{"forgotten too early, once above", kindOf("forget: 1s", "", "once: true", ""), []string{"settings.forget: " + TitleConflict}},
+		{"fleet beyond probes", kindOf("probes: 20", "fleet: 21", "", ""), []string{"places.p.settings.fleet: " + TitleConflict}},
+		{"connections below fleet", kindOf("", "", "connections: 31", ""), []string{"places.p.services.s.settings.connections: " + TitleConflict}},
+		{"homes beyond fleet", kindOf("fleet: 1, homes: 2", "", "", ""), []string{"settings.homes: " + TitleConflict}},
+		{"timeout beyond window", kindOf("window: 1s, timeout: 2s", "", "", ""), []string{"settings.timeout: " + TitleConflict}},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			var faults Faults
+			if _, err := Parse([]byte(v.text)); !errors.As(err, &faults) {
+				t.Fatalf("accepted, or another error: %v", err)
+			}
+			var got []string
+			for _, f := range faults {
+				got = append(got, f.Path+": "+f.Title)
+			}
+			if strings.Join(got, "\n") != strings.Join(v.want, "\n") {
+				t.Errorf("got\n%s\nwant\n%s", faults, strings.Join(v.want, "\n"))
+			}
+		})
+	}
+}
+
+// Aliases cannot make a small document expensive.
+func TestAliasExpansion(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("version: 1\nplaces:\n  p0: &p\n    services:\n      s0: &s\n        kinds: {k0: {}")
+	for i := range 400 {
+		fmt.Fprintf(&b, ", k%d: {}", i+1)
+	}
+	b.WriteString("}\n")
+	for i := range 400 {
+		fmt.Fprintf(&b, "      s%d: *s\n", i+1)
+	}
+	for i := range 400 {
+		fmt.Fprintf(&b, "  p%d: *p\n", i+1)
+	}
+	var faults Faults
+	if _, err := Parse([]byte(b.String())); !errors.As(err, &faults) || faults[0].Title != TitleCount || len(faults) > maxFaults {
+		t.Errorf("%v", faults)
+	}
+}
+
+// An inherited value that does not fit gives way, and show says so.
+func TestAdapted(t *testing.T) {
+	text := kindOf("hedge: 15ms, wait: 1s, homes: 3", "fleet: 2", "", "once: true, deadline: 500ms")
+	lines, err := Effective([]byte(text), "p", "s", "k")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := map[string]string{
+		"hedge": "0s root, adapted from 15ms", "wait": "500ms root, adapted from 1s", "homes": "2 root, adapted from 3",
+		"fleet": "2 place", "once": "true kind", "slots": "2 default",
+	}
+	for _, l := range lines {
+		if v, ok := want[l.Name]; ok && v != l.Value+" "+l.Level {
+			t.Errorf("%s: %s %s, want %s", l.Name, l.Value, l.Level, v)
+		}
+	}
+}
+
+// drawn is a level's setting of the deadline; 0 sets none.
+func drawn(milliseconds int) string {
+	if milliseconds == 0 {
+		return ""
+	}
+	return fmt.Sprintf("deadline: %dms", milliseconds)
+}
+
+// nearest checks an order of inheritance: the value set nearest to the kind holds.
+func nearest(effective func(levels []int) time.Duration) gopter.Prop {
+	return prop.ForAll(func(levels []int) bool {
+		want := defaults().Deadline
+		for _, v := range levels {
+			if v != 0 {
+				want = time.Duration(v) * time.Millisecond
+			}
+		}
+		return effective(levels) == want
+	}, gen.SliceOfN(4, gen.OneGenOf(gen.Const(0), gen.IntRange(1000, 2000))))
+}
+
+func TestInheritance(t *testing.T) {
+	parsed := func(l []int) time.Duration {
+		s, err := Parse([]byte(kindOf(drawn(l[0]), drawn(l[1]), drawn(l[2]), drawn(l[3]))))
+		if err != nil {
+			return 0
+		}
+		return s.Policy("p", "s", "k").Deadline
+	}
+	reversed := func(l []int) time.Duration { return parsed([]int{l[3], l[2], l[1], l[0]}) }
+	for _, v := range []struct {
+		name      string
+		effective func([]int) time.Duration
+		want      bool
+	}{{"parser", parsed, true}, {"broken: the root overrides", reversed, false}} {
+		parameters := gopter.DefaultTestParameters()
+		parameters.Rng = rand.New(rand.NewSource(1))
+		if r := nearest(v.effective).Check(parameters); r.Passed() != v.want {
+			t.Errorf("%s: passed %v, want %v", v.name, r.Passed(), v.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/version/parser/fuzz_test.go
@@ -0,0 +1,113 @@
+package parser
+
+import (
+	"bytes"
+	"compress/gzip"
+	"errors"
+	"fmt"
+	"reflect"
+	"runtime"
+	"strings"
+	"testing"
+
+	"oriolecourse.example/oriolecourse/internal/version/resolver"
+)
+
+// FuzzParse checks that any text gives the same result twice, either a snapshot
+// whose policies keep all rules or faults.
+func FuzzParse(f *testing.F) {
+	f.Add(example(f, "himal"))
+	f.Add(example(f, "steadyhand"))
+	f.Add([]byte("version: 1\nplaces: &p\n  himal: *p\n"))
+	f.Add([]byte("version: 1\nsettings: {wait: 3s, deadline: 1s, hedge: 2s, fleet: 300, <<: {a: 1}}\n"))
+	f.Add([]byte(kindOf("probes: 3", "fleet: 2", "once: true", "hedge: 1s")))
+	f.Add([]byte("? [a]\n: {b: !!binary x}\n--- \n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := Parse(text)
+		again, repeated := Parse(text)
+		if !reflect.DeepEqual(s, again) || fmt.Sprint(err) != fmt.Sprint(repeated) {
+			t.Fatalf("two results: %v, %v", err, repeated)
+		}
+		if err != nil {
+			var faults Faults
+			if s != nil || !errors.As(err, &faults) || len(faults) == 0 {
+				t.Fatalf("not faults: %v", err)
+			}
+			return
+		}
+		if s.Version == 0 || s.Version != Version(text) {
+			t.Fatalf("version %d, %d", s.Version, Version(text))
+		}
+		for key, p := range s.Policies {
+			for _, v := range rules {
+				if v.broken(p) {
+					t.Errorf("%v: %s", key, v.text)
+				}
+			}
+		}
+	})
+}
+
+// large is a tree of the target's size: services of five kinds over places.
+func large(places, services int) []byte {
+	var b strings.Builder
+	b.WriteString("version: 1\nsettings: {fleet: 400, connections: 4000}\nplaces:\n")
+	for p := range places {
+		fmt.Fprintf(&b, "  place%d:\n    settings: {slots: 2, tail: 8, cost: 3}\n    services:\n", p)
+		for s := range services {
+			fmt.Fprintf(&b, "      service%d:\n        settings: {probes: %d, retries: 0.1, ratio: 0.03, rate: 2500, queue: 128}\n        kinds:\n", s, 400+s)
+			for k, text := range []string{
+				"priority: urgent, deadline: 250ms, wait: 120ms, hedge: 15ms", "once: true, deadline: 2s, body: 256KiB",
+				"priority: queued, deadline: 30s, wait: 20s", "deadline: 10s, wait: 8s", "",
+			} {
+				fmt.Fprintf(&b, "          kind%d: {%s}\n", k, text)
+			}
+		}
+	}
+	return []byte(b.String())
+}
+
+// held is the memory that one snapshot occupies.
+func held(b *testing.B, text []byte) float64 {
+	const count = 10
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var snapshots []*resolver.Snapshot
+	for range count {
+		s, err := Parse(text)
+		if err != nil {
+			b.Fatal(err)
+		}
+		snapshots = append(snapshots, s)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(snapshots)
+	return float64(after.HeapAlloc-before.HeapAlloc) / count
+}
+
+func BenchmarkParse(b *testing.B) {
+	for _, v := range []struct{ places, services int }{{1, 2}, {1, 21}, {1, 210}, {5, 210}} {
+		b.Run(fmt.Sprintf("services=%d", v.places*v.services), func(b *testing.B) {
+			text := large(v.places, v.services)
+			var packed bytes.Buffer
+			w := gzip.NewWriter(&packed)
+			if _, err := w.Write(text); err != nil {
+				b.Fatal(err)
+			}
+			if err := w.Close(); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := Parse(text); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(text)), "text-bytes")
+			b.ReportMetric(float64(packed.Len()), "gzip-bytes")
+			b.ReportMetric(held(b, text), "held-bytes")
+		})
+	}
+}
