Publish admin addresses to peers, log changes of state in one form

Cause: cost could not find the other instances' admin addresses, so it reported one instance of four; members were logged twice in two forms; rejected documents and leaving targets were not logged at all.

--- a/internal/process/assembler/instance.go
+++ b/internal/process/assembler/instance.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
 	"oriolecourse.example/oriolecourse/internal/process/accountant"
 	"oriolecourse.example/oriolecourse/internal/process/adopter"
@@ -87,6 +89,8 @@
 	i.sender = &sender.Sender{DialTimeout: dialTimeout, Opened: i.opened}
 	i.handler = i.newHandler()
 	i.operator = &handler.Operator{Table: i.table, Handler: i.handler, Forward: i.forward}
+	i.settings.Reject = func(r adopter.Rejection) { i.rejected("settings", r) }
+	i.list.Reject = func(r adopter.Rejection) { i.rejected("list", r) }
 	i.settings.Change = func(_ *resolver.Snapshot, p adopter.Stamp, now time.Time) { i.adopted("settings", p, now) }
 	i.list.Change = func(l *lister.List, p adopter.Stamp, now time.Time) {
 		i.tellLeaving(i.tracker.List(l, now))
@@ -114,10 +118,16 @@
 func (i *Instance) adopted(kind string, p adopter.Stamp, _ time.Time) {
 	i.options.Scope.Tagged(map[string]string{"document": kind}).Counter("adopted").Inc(1)
 	i.relayer.Announce()
-	_ = i.options.Logger.Log("event", "adopted", "document", kind, "version", p.Version, "digest", p.Digest)
+	_ = level.Info(i.options.Logger).Log("msg", "adopted", "document", kind, "version", p.Version, "digest", p.Digest)
 	i.wake()
 }
 
+// rejected logs a document that does not come into force.
+func (i *Instance) rejected(kind string, r adopter.Rejection) {
+	i.options.Scope.Tagged(map[string]string{"document": kind}).Counter("rejected").Inc(1)
+	_ = level.Warn(i.options.Logger).Log("msg", "rejected", "document", kind, "version", r.Stamp.Version, "reason", r.Reason)
+}
+
 // wake has the refresher run soon.
 func (i *Instance) wake() {
 	select {
--- a/internal/process/assembler/life.go
+++ b/internal/process/assembler/life.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/gravitational/trace"
 )
 
@@ -57,7 +58,7 @@
 	failed := make(chan error, 1)
 	go func() { failed <- l.server.Serve(listener) }()
 	i.ready.Store(true)
-	_ = i.options.Logger.Log("event", "serving", "version", i.settings.Stamp().Version)
+	_ = level.Info(i.options.Logger).Log("msg", "serving", "version", i.settings.Stamp().Version)
 	select {
 	case err := <-failed:
 		return trace.Wrap(err)
@@ -96,7 +97,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), catchupTimeout)
 	defer cancel()
 	reached := l.instance.relayer.Catchup(ctx, l.instance.list.Current())
-	_ = l.instance.options.Logger.Log("event", "catchup", "peers", reached)
+	_ = level.Info(l.instance.options.Logger).Log("msg", "catchup", "peers", reached)
 }
 
 // await waits for a condition; it is false when the instance is to stop first.
@@ -124,7 +125,7 @@
 	i.leaving.Store(true)
 	i.relayer.Leave(begun)
 	keep, deadline := i.longest()
-	_ = i.options.Logger.Log("event", "leaving", "wait", settleTime+keep)
+	_ = level.Info(i.options.Logger).Log("msg", "leaving", "wait", settleTime+keep)
 	l.pause(settleTime + keep)
 
 	i.table.Close(time.Now())
@@ -133,7 +134,7 @@
 	err := l.server.Shutdown(ctx)
 	l.drained(ctx)
 	i.relayer.Farewell(time.Now())
-	_ = i.options.Logger.Log("event", "left", "took", time.Since(begun))
+	_ = level.Info(i.options.Logger).Log("msg", "left", "took", time.Since(begun))
 	return trace.Wrap(err)
 }
 
--- a/internal/process/assembler/peers.go
+++ b/internal/process/assembler/peers.go
@@ -25,7 +25,7 @@
 
 // self returns the instance as the list would publish it.
 func (o *Options) self() lister.Instance {
-	return lister.Instance{Address: o.Address, Peer: o.Peer, Place: o.Place, Zone: o.Zone, State: lister.Live}
+	return lister.Instance{Address: o.Address, Peer: o.Peer, Admin: o.Admin, Place: o.Place, Zone: o.Zone, State: lister.Live}
 }
 
 func (i *Instance) newRelayer() *relayer.Relayer {
@@ -65,14 +65,7 @@
 }
 
 // members reacts to a change of the fleet.
-func (i *Instance) members(_ []detector.Member, changes []detector.Change) {
-	for _, c := range changes {
-		_ = i.options.Logger.Log("event", "member", "peer", c.Member.Instance.Peer,
-			"incarnation", strconv.FormatUint(c.Member.Incarnation, 16),
-			"state", c.Member.State, "leaving", c.Member.Leaving)
-	}
-	i.wake()
-}
+func (i *Instance) members([]detector.Member, []detector.Change) { i.wake() }
 
 // execute runs an operation that another instance has passed on.
 func (i *Instance) execute(ctx context.Context, o relayer.Operation) relayer.Outcome {
@@ -136,7 +129,12 @@
 }
 
 func peer(m detector.Member) server.Peer {
+	admin := ""
+	if m.Instance.Admin.IsValid() {
+		admin = m.Instance.Admin.String()
+	}
 	return server.Peer{
+		Admin:       admin,
 		Address:     m.Instance.Address.String(),
 		Peer:        m.Instance.Peer.String(),
 		Place:       m.Instance.Place,
--- a/internal/process/assembler/rumors.go
+++ b/internal/process/assembler/rumors.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
 	"oriolecourse.example/oriolecourse/internal/process/relayer"
 	"oriolecourse.example/oriolecourse/internal/process/tracker"
@@ -48,6 +50,8 @@
 // tellLeaving spreads that runs of targets are leaving.
 func (i *Instance) tellLeaving(told []tracker.Rumour) {
 	for _, u := range told {
+		_ = level.Info(i.options.Logger).Log("msg", "target leaving", "place", u.Key.Place,
+			"service", u.Key.Service, "target", u.Key.Address, "start", u.Start)
 		i.relayer.Spread(relayer.Rumor{
 			Topic:   relayer.Draining,
 			Place:   u.Key.Place,
--- a/internal/version/lister/list.go
+++ b/internal/version/lister/list.go
@@ -22,6 +22,8 @@
 	Address netip.AddrPort `json:"address"`
 	// Peer serves the other instances over framed TCP.
 	Peer netip.AddrPort `json:"peer"`
+	// Admin serves operators; it is not valid when nobody has told it.
+	Admin netip.AddrPort `json:"admin,omitzero"`
 	// Place is the place of the settings tree that the instance serves.
 	Place string `json:"place"`
 	// Zone is the availability zone.
