--- a/internal/connection/framer/handshake.go
+++ b/internal/connection/framer/handshake.go
@@ -6,6 +6,7 @@
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
+	"io"
 	"net"
 	"net/netip"
 	"time"
@@ -52,6 +53,20 @@
 	MaxFrame int
 	// Timeout bounds dialing, the handshake and each write.
 	Timeout time.Duration
+
+	// random is the source of nonces; nil is the system's.
+	random io.Reader
+}
+
+// nonce returns fresh random bytes.
+func (e *Endpoint) nonce() ([]byte, error) {
+	source := e.random
+	if source == nil {
+		source = rand.Reader
+	}
+	n := make([]byte, nonceBytes)
+	_, err := io.ReadFull(source, n)
+	return n, trace.Wrap(err)
 }
 
 // hello opens a session.
@@ -160,8 +175,10 @@
 
 // sendHello signs a hello together with the one that it answers.
 func (e *Endpoint) sendHello(c *Conn, key *Key, label string, answered []byte) ([]byte, error) {
-	nonce := make([]byte, nonceBytes)
-	rand.Read(nonce)
+	nonce, err := e.nonce()
+	if err != nil {
+		return nil, err
+	}
 	text, err := msgpack.Marshal(&hello{Protocol: protocol, Key: key.ID, Nonce: nonce, Identity: e.Identity})
 	if err != nil {
 		return nil, trace.Wrap(err)
