--- a/internal/standin/commander/load.go
+++ b/internal/standin/commander/load.go
@@ -147,13 +147,9 @@
 func judge(record string, paths []string) (*auditor.Verdict, error) {
 	var results []*loader.Result
 	for _, path := range paths {
-		text, err := os.ReadFile(path)
+		result, err := readResult(path)
 		if err != nil {
-			return nil, trace.Wrap(err)
-		}
-		result := &loader.Result{}
-		if err := json.Unmarshal(text, result); err != nil {
-			return nil, trace.Wrap(err, "%s", path)
+			return nil, err
 		}
 		results = append(results, result)
 	}
@@ -167,3 +163,13 @@
 	}
 	return auditor.Audit(results, events), nil
 }
+
+// readResult reads the result of one load.
+func readResult(path string) (*loader.Result, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	result := &loader.Result{}
+	return result, trace.Wrap(json.Unmarshal(text, result), "%s", path)
+}
--- /dev/null
+++ b/internal/standin/comparer/print.go
@@ -0,0 +1,65 @@
+package comparer
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// Print writes the tables: latencies by kind, then what each way cost.
+func (c *Comparison) Print(w io.Writer) error {
+	slices.SortStableFunc(c.groups, func(a, b *group) int { return cmp.Compare(a.scene, b.scene) })
+	fmt.Fprintf(w, "milliseconds, divided by the stretch of %g; the first %s of each load do not count\n\n", c.Stretch, c.Warmup)
+	if err := c.printLatencies(w); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	return c.printCosts(w)
+}
+
+// table returns a writer of aligned columns with the given heads.
+func table(w io.Writer, heads ...string) *tabwriter.Writer {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, strings.Join(heads, "\t")+"\t")
+	return t
+}
+
+// printLatencies writes one row for each kind.
+func (c *Comparison) printLatencies(w io.Writer) error {
+	t := table(w, "scene", "policy", "kind", "count", "p50", "p99", "p99.9", "not done", "attempts/request")
+	for _, g := range c.groups {
+		for _, k := range g.kinds {
+			fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%s\t%s\t%d\t%.3f\t\n", g.scene, g.policy, k.name, k.count,
+				c.percentile(k, 50), c.percentile(k, 99), c.percentile(k, 99.9),
+				k.bad, float64(k.attempts)/float64(k.count))
+		}
+	}
+	return t.Flush()
+}
+
+// printCosts writes one row for each group.
+func (c *Comparison) printCosts(w io.Writer) error {
+	t := table(w, "scene", "policy", "loads", "requests", "runs/request", "hedges/request", "retries/request",
+		"probes/s", "platform calls/s", "core/instance", "control B/s/instance")
+	for _, g := range c.groups {
+		requests, seconds := float64(g.requests), g.duration.Seconds()
+		u := g.usage
+		instances := max(1, float64(u.Instances)/float64(g.results))
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%.3f\t%.4f\t%.4f\t%.2f\t%.2f\t%.2f%%\t%.0f\t\n", g.scene, g.policy,
+			g.results, g.requests, float64(u.Runs)/requests, float64(u.Hedges)/requests, float64(u.Retries)/requests,
+			float64(u.Probes)/seconds*c.Stretch, float64(u.Calls)/seconds,
+			100*u.Processor.Seconds()/seconds/instances, float64(u.Bytes)/seconds/instances)
+	}
+	return t.Flush()
+}
+
+// percentile prints a percentile in milliseconds without the stretch.
+func (c *Comparison) percentile(k *kind, quantile float64) string {
+	if k.latencies.TotalCount() == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f", float64(k.latencies.ValueAtQuantile(quantile))/1000/c.Stretch)
+}
--- a/internal/standin/sampler/sampler.go
+++ b/internal/standin/sampler/sampler.go
@@ -113,3 +113,10 @@
 	}
 	return trace.Wrap(json.NewDecoder(answer.Body).Decode(value), "%s%s", address, path)
 }
+
+// Plus returns the sum with another difference.
+func (u Usage) Plus(other Usage) Usage {
+	u.Instances += other.Instances
+	negative := Usage{}.Since(other)
+	return u.Since(negative)
+}
