--- a/internal/standin/commander/bench.go
+++ b/internal/standin/commander/bench.go
@@ -2,7 +2,7 @@
 
 import (
 	"io"
-	"strings"
+	"strconv"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -40,7 +40,7 @@
 	var factor float64
 	c := &cobra.Command{
 		Use:   "stretch",
-		Short: "Multiply every duration of the settings tree on standard input",
+		Short: "Multiply every duration of the settings tree on standard input, divide every rate",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			text, err := io.ReadAll(c.InOrStdin())
@@ -59,15 +59,21 @@
 	return c
 }
 
-// stretch multiplies the scalars below a node that are durations.
+// stretch multiplies the scalars below a node that are durations and divides
+// rates.
 func stretch(n *yaml.Node, factor float64) {
-	for _, child := range n.Content {
+	for i, child := range n.Content {
 		stretch(child, factor)
+		if n.Kind == yaml.MappingNode && i%2 == 1 && n.Content[i-1].Value == "rate" {
+			if rate, err := strconv.ParseFloat(child.Value, 64); err == nil {
+				child.Value = strconv.FormatFloat(rate/factor, 'g', -1, 64)
+			}
+		}
 	}
-	if n.Kind != yaml.ScalarNode || strings.Trim(n.Value, "0123456789") == "" {
+	if n.Kind != yaml.ScalarNode {
 		return
 	}
-	if d, err := time.ParseDuration(n.Value); err == nil {
+	if d, err := time.ParseDuration(n.Value); err == nil && d > 0 {
 		n.Value = time.Duration(float64(d) * factor).String()
 	}
 }
