--- a/internal/process/quarantiner/evidence.go
+++ b/internal/process/quarantiner/evidence.go
@@ -34,12 +34,15 @@
 	Start string
 }
 
-// Rumour tells peers of a loss.
+// Rumour tells peers of a loss, or that a suspect was answered whole.
 type Rumour struct {
 	Service     Service
 	Fingerprint Fingerprint
-	Run         Run
-	// Age is the time since the loss.
+	// Run is the lost run; it is empty when Cleared is set.
+	Run Run
+	// Cleared means that the request was answered whole.
+	Cleared bool
+	// Age is the time since the loss or the answer.
 	Age time.Duration
 }
 
--- a/internal/process/quarantiner/judge.go
+++ b/internal/process/quarantiner/judge.go
@@ -216,3 +216,38 @@
 		delete(t.losses, r)
 	}
 }
+
+// clear drops what speaks against a request up to the time at which it was
+// answered whole. Times told by peers are inexact, so losses of the same moment
+// count as earlier.
+func (t *Table) clear(f Fingerprint, at, now time.Time) {
+	remember(t.cleared, f, at, now, t.limits)
+	if e := t.entries[f]; e != nil && e.last.Before(at.Add(t.limits.Together)) {
+		t.remove(e)
+	}
+}
+
+// void reports whether a loss that a peer told was already answered for: the
+// request ran whole after it, or the run answered after it.
+func (t *Table) void(l loss, at, now time.Time) bool {
+	if cleared, ok := t.cleared[l.fingerprint]; ok && at.Before(cleared.Add(t.limits.Together)) {
+		return true
+	}
+	struck, ok := t.struck[l]
+	return ok && now.Sub(struck) < t.limits.Suspicion
+}
+
+// remember notes the newest time of an event and drops those that no rumour can
+// be about any more.
+func remember[K comparable](events map[K]time.Time, key K, at, now time.Time, limits Limits) {
+	if len(events) >= limits.Entries {
+		for k, old := range events {
+			if now.Sub(old) >= limits.Suspicion {
+				delete(events, k)
+			}
+		}
+	}
+	if len(events) < limits.Entries && at.After(events[key]) {
+		events[key] = at
+	}
+}
--- a/internal/process/quarantiner/property_test.go
+++ b/internal/process/quarantiner/property_test.go
@@ -121,7 +121,7 @@
 	if !w.variant.ignoresAlive {
 		w.table.Alive(w.run(f.target), f.sent, w.now)
 	}
-	w.table.Answered(request(name(f.request)), w.now)
+	w.table.Answered(lookup, request(name(f.request)), w.now)
 	w.leave(f)
 }
 
@@ -144,7 +144,7 @@
 	w.flights = rest
 	for _, f := range lost {
 		if w.variant.forgets {
-			w.table.Answered(request(name(f.request)), w.now)
+			w.table.Answered(lookup, request(name(f.request)), w.now)
 		}
 		w.table.Lost(lookup, request(name(f.request)), w.run(target), w.now)
 		w.leave(f)
--- a/internal/process/quarantiner/session_test.go
+++ b/internal/process/quarantiner/session_test.go
@@ -55,7 +55,10 @@
 			sent, _ := time.ParseDuration(e.Arg(1))
 			t.Alive(run(e.Arg(0)), narrator.Epoch.Add(sent), e.Now)
 		case "answered":
-			t.Answered(request(e.Arg(0)), e.Now)
+			t.Answered(lookup, request(e.Arg(0)), e.Now)
+		case "cleared":
+			age, _ := time.ParseDuration(e.Arg(1))
+			t.Hear(Rumour{Service: lookup, Fingerprint: request(e.Arg(0)), Cleared: true, Age: age}, e.Now)
 		case "suspect":
 			return strconv.FormatBool(t.Suspect(request(e.Arg(0)), e.Now))
 		default:
--- a/internal/process/quarantiner/table.go
+++ b/internal/process/quarantiner/table.go
@@ -26,6 +26,12 @@
 	last time.Time
 }
 
+// loss names one loss.
+type loss struct {
+	fingerprint Fingerprint
+	run         Run
+}
+
 // Table holds the suspected and convicted requests of an instance.
 type Table struct {
 	limits Limits
@@ -42,6 +48,10 @@
 	// jail holds the entries that were convicted and not seen to be out of
 	// quarantine since.
 	jail map[Fingerprint]*entry
+	// cleared holds when a request was last answered whole, and struck which
+	// losses were taken back: rumours of them go on for some time and count no more.
+	cleared map[Fingerprint]time.Time
+	struck  map[loss]time.Time
 	// convictions and reprieves count changes of state.
 	convictions, reprieves int64
 }
@@ -54,6 +64,8 @@
 		losses:  make(map[Run]map[Fingerprint]time.Time),
 		apart:   make(map[Service]Fingerprint),
 		jail:    make(map[Fingerprint]*entry),
+		cleared: make(map[Fingerprint]time.Time),
+		struck:  make(map[loss]time.Time),
 	}
 }
 
@@ -107,14 +119,22 @@
 	return Rumour{Service: s, Fingerprint: f, Run: r}
 }
 
-// Hear records a loss told by a peer.
+// Hear records what a peer told.
 func (t *Table) Hear(r Rumour, now time.Time) {
 	if r.Age < 0 || r.Age >= t.limits.Suspicion {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.accuse(r.Service, r.Fingerprint, r.Run, now.Add(-r.Age), now)
+	at := now.Add(-r.Age)
+	if r.Cleared {
+		t.clear(r.Fingerprint, at, now)
+		return
+	}
+	if t.void(loss{r.Fingerprint, r.Run}, at, now) {
+		return
+	}
+	t.accuse(r.Service, r.Fingerprint, r.Run, at, now)
 }
 
 // Alive records an answer to a request that was sent at the given time. A run
@@ -130,20 +150,24 @@
 			continue
 		}
 		t.unnote(f, r)
+		remember(t.struck, loss{f, r}, now, now, t.limits)
 		t.acquit(f, r, now)
 	}
 }
 
-// Answered records the whole answer to a request: it does not crash targets.
-func (t *Table) Answered(f Fingerprint, now time.Time) {
+// Answered records the whole answer to a request: it does not crash targets. It
+// returns the rumour for the peers if the request was a suspect.
+func (t *Table) Answered(s Service, f Fingerprint, now time.Time) (Rumour, bool) {
 	if t.size.Load() == 0 {
-		return
+		return Rumour{}, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.live(f, now); e != nil && !now.Before(e.until) {
-		t.remove(e)
+	if t.live(f, now) == nil {
+		return Rumour{}, false
 	}
+	t.clear(f, now, now)
+	return Rumour{Service: s, Fingerprint: f, Cleared: true}, true
 }
 
 // Stats describes a table.
