--- a/internal/process/assembler/rumors.go
+++ b/internal/process/assembler/rumors.go
@@ -22,11 +22,12 @@
 		if i.tracker.Hear(tracker.Rumour{Key: key, Start: r.Start, Age: age}, now) {
 			i.wake()
 		}
-	case relayer.Loss:
+	case relayer.Loss, relayer.Cleared:
 		i.quarantine.Hear(quarantiner.Rumour{
 			Service:     quarantiner.Service{Place: r.Place, Service: r.Service},
 			Fingerprint: quarantiner.Fingerprint(r.Fingerprint),
 			Run:         quarantiner.Run{Address: r.Target, Start: r.Start},
+			Cleared:     r.Topic == relayer.Cleared,
 			Age:         age,
 		}, now)
 	case relayer.Load:
@@ -34,10 +35,14 @@
 	}
 }
 
-// tellLoss spreads the loss of a request.
+// tellLoss spreads the loss of a request, or that it has been answered whole since.
 func (i *Instance) tellLoss(u quarantiner.Rumour) {
+	topic := relayer.Loss
+	if u.Cleared {
+		topic = relayer.Cleared
+	}
 	i.relayer.Spread(relayer.Rumor{
-		Topic:       relayer.Loss,
+		Topic:       topic,
 		Place:       u.Service.Place,
 		Service:     u.Service.Service,
 		Target:      u.Run.Address,
--- a/internal/process/relayer/rumor.go
+++ b/internal/process/relayer/rumor.go
@@ -20,6 +20,9 @@
 	// Place, Service, Instance and Rate are set. An empty Service is the
 	// instance's own load, where Rate 1 is full. A later one replaces it.
 	Load
+	// Cleared tells that a request that was lost with a target has been answered
+	// whole: Place, Service and Fingerprint are set.
+	Cleared
 	topicCount
 )
 
@@ -34,6 +37,7 @@
 	Draining: {"draining", time.Minute, true},
 	Loss:     {"loss", 10 * time.Minute, true},
 	Load:     {"load", LoadLife, false},
+	Cleared:  {"cleared", time.Minute, true},
 }
 
 // LoadLife is how long a Load rumor holds; it is told anew before that.
--- a/internal/request/handler/race.go
+++ b/internal/request/handler/race.go
@@ -200,7 +200,13 @@
 	switch {
 	case a.Answer != nil:
 		h.Quarantine.Alive(run, begun, now)
-		h.Quarantine.Answered(r.fingerprint, now)
+		// An answer that the request was shed says nothing of what it does.
+		if a.Effect != sender.Done {
+			return
+		}
+		if told, ok := h.Quarantine.Answered(r.service(), r.fingerprint, now); ok {
+			h.Tell(told)
+		}
 	case a.Effect == sender.Lost && !a.Cancelled:
 		h.Tell(h.Quarantine.Lost(r.service(), r.fingerprint, run, now))
 	}
