Elect further readers when readers have lost the platform

Members may now tell that they lost the platform; the able ones elect readers among themselves in addition, and a version is found at once when the cut is older than a minute and a half.

Ruled out: making every instance that lost the platform a reader, which brings 400 of them to the figures of a split fleet.

--- a/internal/process/watcher/schedule.go
+++ b/internal/process/watcher/schedule.go
@@ -8,7 +8,7 @@
 // Timing of the calls.
 const (
 	// Wait is how long the platform holds a waiting watch without news.
-	Wait = 20 * time.Second
+	Wait = 10 * time.Second
 	// pace times the number of live instances is the time between two fallback
 	// reads of one instance; their rate over the fleet is thus constant.
 	pace = time.Second
@@ -73,6 +73,9 @@
 type View struct {
 	// Members are the instances believed to be live.
 	Members []netip.AddrPort
+	// Able are the members that have not told that they lost the platform; nil
+	// when members do not tell.
+	Able []netip.AddrPort
 	// Heard is when any peer last gave a sign; zero when that is not known.
 	Heard time.Time
 	// Holding says that a document is in force.
@@ -103,8 +106,10 @@
 	watching bool
 	// substitute is until when the instance watches without being elected.
 	substitute time.Time
-	// failures counts consecutive calls of no use.
+	// failures counts consecutive calls of no use; lost says that the last one
+	// failed.
 	failures int
+	lost     bool
 	// tokens, counted up to filled, bound the calls; at most burst.
 	tokens int
 	filled time.Time
@@ -159,13 +164,21 @@
 	if !view.Heard.IsZero() && now.Sub(view.Heard) > silence {
 		return true
 	}
-	return Elected(s.Self, view.Members, s.Kind)
+	if Elected(s.Self, view.Members, s.Kind) {
+		return true
+	}
+	return view.Able != nil && !s.lost && Elected(s.Self, view.Able, s.Kind)
 }
 
+// Lost reports whether the last call failed. Members that are told of it elect
+// another reader in addition.
+func (s *Schedule) Lost() bool { return s.lost }
+
 // Finish takes the result of the running call and the view after it.
 func (s *Schedule) Finish(now time.Time, view View, r Result) {
 	call := s.running
 	s.running = None
+	s.lost = r == Failed
 	switch r {
 	case News:
 		s.failures = 0
@@ -186,10 +199,11 @@
 
 // due is the time of the call after one that ended now.
 func (s *Schedule) due(now time.Time, view View) time.Time {
-	if s.failures > 0 && (s.watching || !view.Holding) {
+	watching := s.reader(now, view)
+	if s.failures > 0 && (watching || !view.Holding) {
 		return now.Add(s.backoff())
 	}
-	if s.watching || now.Before(s.substitute) {
+	if watching {
 		return now
 	}
 	return now.Add(s.jitter(pace * time.Duration(max(len(view.Members), Readers))))
--- a/internal/process/watcher/schedule_test.go
+++ b/internal/process/watcher/schedule_test.go
@@ -105,6 +105,8 @@
 	split bool
 	// churn is the time between two replacements of an instance; 0 for none.
 	churn time.Duration
+	// spoil, if set, breaks the schedule before each decision.
+	spoil func(s *Schedule)
 }
 
 func held(c Call) time.Duration {
@@ -237,6 +239,9 @@
 		m.call = None
 		m.schedule.Finish(now, view, s.result)
 	}
+	if s.spoil != nil {
+		s.spoil(m.schedule)
+	}
 	d := m.schedule.Decide(now, view)
 	if d.Call == None {
 		m.due = now.Add(min(tick, d.Again.Sub(now)))
@@ -273,6 +278,17 @@
 	goldie.New(t).Assert(t, "calls", []byte(table.String()))
 }
 
+// A fleet whose schedules do not back off misses the goal.
+func TestCallsWithoutBackoff(t *testing.T) {
+	f := simulate(400, situation{
+		length: at(time.Millisecond), result: Failed, split: true,
+		spoil: func(s *Schedule) { s.failures, s.next = 0, s.started },
+	})
+	if f.mean <= goal {
+		t.Errorf("%.0f calls/s", f.mean)
+	}
+}
+
 // Whatever the platform answers, one instance stays within its bucket; a
 // variant whose bucket is refilled without end does not.
 func TestBucket(t *testing.T) {
--- a/internal/process/watcher/watcher.go
+++ b/internal/process/watcher/watcher.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -22,7 +23,7 @@
 // Limits of one call.
 const (
 	// readTimeout bounds a call, or what remains of it after the wait.
-	readTimeout = 5 * time.Second
+	readTimeout = 3 * time.Second
 	dialTimeout = 2 * time.Second
 	// tick bounds the time until changed members are noticed.
 	tick = time.Second
@@ -37,6 +38,9 @@
 	Self netip.AddrPort
 	// Members gives the instances believed to be live.
 	Members func() []netip.AddrPort
+	// Able gives the members that have not told that they lost the platform; it
+	// may be nil.
+	Able func() []netip.AddrPort
 	// Heard gives when any peer last gave a sign; it may be nil.
 	Heard func() time.Time
 	// Stamp gives the document in force.
@@ -51,6 +55,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   chan struct{}
+	// lost counts the kinds whose last call failed.
+	lost atomic.Int32
 }
 
 // Prepare readies the watcher for Run and Stop, which may then be called in
@@ -88,6 +94,9 @@
 // Stop ends Run and cancels calls in flight.
 func (w *Watcher) Stop() { w.cancel() }
 
+// Lost reports whether the platform cannot be reached, for telling peers.
+func (w *Watcher) Lost() bool { return w.lost.Load() > 0 }
+
 // Done is closed when Run has ended.
 func (w *Watcher) Done() <-chan struct{} { return w.done }
 
@@ -96,10 +105,8 @@
 	*Watcher
 	kind     Kind
 	schedule Schedule
-	// lost says that the last call failed.
-	lost    bool
-	calls   tally.Counter
-	results [results]tally.Counter
+	calls    tally.Counter
+	results  [results]tally.Counter
 }
 
 func newLoop(w *Watcher, k Kind) *loop {
@@ -137,6 +144,9 @@
 
 func (l *loop) view() View {
 	v := View{Members: l.Members(), Holding: l.Stamp(l.kind).Version != 0}
+	if l.Able != nil {
+		v.Able = l.Able()
+	}
 	if l.Heard != nil {
 		v.Heard = l.Heard()
 	}
@@ -155,14 +165,15 @@
 // note logs when the platform is lost and when it is back.
 func (l *loop) note(r Result, err error) {
 	lost := r == Failed
-	if lost == l.lost {
+	if lost == l.schedule.Lost() {
 		return
 	}
-	l.lost = lost
 	if lost {
+		l.lost.Add(1)
 		_ = l.Logger.Log("level", "warn", "event", "platform lost", "document", l.kind, "cause", err)
 		return
 	}
+	l.lost.Add(-1)
 	_ = l.Logger.Log("level", "info", "event", "platform back", "document", l.kind)
 }
 
