Start no work on beliefs from before a pause

Cause: a process that is stopped and continued serves the requests that wait in its sockets before any timer of its own runs, with the targets and settings of before the pause; a target that has left meanwhile would get new work. Ruled out: noticing the pause by a timer alone, since requests come first; asking peers for each request. Rumors of leaving targets live 10 min for that. Bodies that do not come in time are given up; spans for forwarded operations.

--- a/internal/process/assembler/instance.go
+++ b/internal/process/assembler/instance.go
@@ -19,6 +19,7 @@
 	"oriolecourse.example/oriolecourse/internal/process/relayer"
 	"oriolecourse.example/oriolecourse/internal/process/steerer"
 	"oriolecourse.example/oriolecourse/internal/process/tracker"
+	"oriolecourse.example/oriolecourse/internal/process/waker"
 	"oriolecourse.example/oriolecourse/internal/request/handler"
 	"oriolecourse.example/oriolecourse/internal/version/lister"
 	"oriolecourse.example/oriolecourse/internal/version/resolver"
@@ -48,8 +49,11 @@
 	handler    *handler.Handler
 	operator   *handler.Operator
 
-	// planner is used by the refresher only.
-	planner planner
+	// guard tells whether the process has been paused.
+	guard *waker.Guard
+	// applying orders the uses of planner.
+	applying sync.Mutex
+	planner  planner
 	// plan holds the homes of all services.
 	plan atomic.Pointer[steerer.Plan]
 	// ready is set when callers are served, leaving when the instance will stop.
@@ -76,6 +80,7 @@
 		accounts:    accountant.New(o.Address, o.Zone, now),
 		counters:    newCounters(o.Scope),
 		loads:       steerer.NewLoads(),
+		guard:       waker.New(now),
 		changed:     make(chan struct{}, 1),
 	}
 	i.table = executor.New(o.Peer, i.incarnation, limits(nil), now)
@@ -103,6 +108,7 @@
 func (i *Instance) newHandler() *handler.Handler {
 	return &handler.Handler{
 		Dispatcher: i.dispatcher,
+		Old:        i.guard.Old,
 		Quarantine: i.quarantine,
 		Send:       i.sender.Send,
 		Start:      i.start,
--- a/internal/process/assembler/peers.go
+++ b/internal/process/assembler/peers.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"go.opentelemetry.io/otel/propagation"
+	oteltrace "go.opentelemetry.io/otel/trace"
 
 	"oriolecourse.example/oriolecourse/internal/connection/framer"
 	"oriolecourse.example/oriolecourse/internal/process/adopter"
@@ -20,6 +22,9 @@
 	"oriolecourse.example/oriolecourse/internal/version/lister"
 )
 
+// propagator reads and writes the standard trace header.
+var propagator = propagation.TraceContext{}
+
 // pathToken asks an instance for its executor's token.
 const pathToken = "/v1/token"
 
@@ -72,6 +77,9 @@
 	if o.Path == pathToken {
 		return i.token(time.Now())
 	}
+	ctx = propagator.Extract(ctx, propagation.HeaderCarrier(o.Header))
+	ctx, span := i.options.Tracer.Start(ctx, "execute", oteltrace.WithSpanKind(oteltrace.SpanKindServer))
+	defer span.End()
 	m := i.run(ctx, o, time.Now()).Message()
 	return relayer.Outcome{Status: m.Status, Header: m.Header, Body: m.Body}
 }
@@ -102,11 +110,15 @@
 func (i *Instance) forward(ctx context.Context, to executor.Token, r *handler.Request) *handler.Outcome {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
+	ctx, span := i.options.Tracer.Start(ctx, "forward", oteltrace.WithSpanKind(oteltrace.SpanKindClient))
+	defer span.End()
+	header := r.Header.Clone()
+	propagator.Inject(ctx, propagation.HeaderCarrier(header))
 	a, err := i.relayer.Forward(ctx, to.Peer, relayer.Operation{
 		Incarnation: to.Incarnation,
 		Method:      r.Method,
 		Path:        handler.RequestPrefix + r.Policy.Service + r.Path,
-		Header:      r.Header,
+		Header:      header,
 		Body:        r.Body,
 	})
 	if err == nil {
--- a/internal/process/assembler/refresher.go
+++ b/internal/process/assembler/refresher.go
@@ -30,6 +30,8 @@
 
 // apply hands settings, targets and members to the parts of each service.
 func (i *Instance) apply(now time.Time) {
+	i.applying.Lock()
+	defer i.applying.Unlock()
 	s := i.settings.Current()
 	if s == nil {
 		return
--- a/internal/process/assembler/rumors.go
+++ b/internal/process/assembler/rumors.go
@@ -10,16 +10,20 @@
 	"oriolecourse.example/oriolecourse/internal/process/tracker"
 )
 
-// rumorLife is how long a rumor is passed on; its age is told from what is left.
-const rumorLife = time.Minute
+// The lives of rumors; the age of a rumor is told from what is left.
+const (
+	rumorLife = time.Minute
+	// leavingLife is longer, so that an instance that was paused for minutes still
+	// hears which runs of targets have left.
+	leavingLife = 10 * time.Minute
+)
 
 // hear takes in what a peer told.
 func (i *Instance) hear(r relayer.Rumor, now time.Time) {
-	age := max(rumorLife-r.Left, 0)
 	switch r.Topic {
 	case relayer.Draining:
 		key := tracker.Key{Place: r.Place, Service: r.Service, Address: r.Target}
-		if i.tracker.Hear(tracker.Rumour{Key: key, Start: r.Start, Age: age}, now) {
+		if i.tracker.Hear(tracker.Rumour{Key: key, Start: r.Start, Age: max(leavingLife-r.Left, 0)}, now) {
 			i.wake()
 		}
 	case relayer.Loss, relayer.Cleared:
@@ -28,7 +32,7 @@
 			Fingerprint: quarantiner.Fingerprint(r.Fingerprint),
 			Run:         quarantiner.Run{Address: r.Target, Start: r.Start},
 			Cleared:     r.Topic == relayer.Cleared,
-			Age:         age,
+			Age:         max(rumorLife-r.Left, 0),
 		}, now)
 	case relayer.Load:
 		i.loads.Tell(r.Place, r.Service, r.Instance, r.Rate, now.Add(r.Left))
@@ -63,7 +67,7 @@
 			Service: u.Key.Service,
 			Target:  u.Key.Address,
 			Start:   u.Start,
-			Left:    rumorLife - u.Age,
+			Left:    leavingLife - u.Age,
 		}, time.Now())
 	}
 }
--- a/internal/process/assembler/run.go
+++ b/internal/process/assembler/run.go
@@ -15,6 +15,7 @@
 func (i *Instance) Run() error {
 	var g run.Group
 	i.addLoop(&g, i.refresh)
+	i.addLoop(&g, i.beat)
 	i.addLoop(&g, i.probe)
 	w := i.newWatcher()
 	g.Add(w.Run, func(error) { w.Stop() })
--- a/internal/process/server/callers.go
+++ b/internal/process/server/callers.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -83,7 +84,7 @@
 	ctx, span := c.Tracer.Start(ctx, "receive", oteltrace.WithSpanKind(oteltrace.SpanKindServer))
 	defer span.End()
 
-	r, o := c.accept(q, now)
+	r, o := c.accept(x, now)
 	if o == nil {
 		o = c.Handle(ctx, r)
 	}
@@ -92,12 +93,17 @@
 }
 
 // accept reads the whole request, or says why it is refused.
-func (c *Callers) accept(q *http.Request, now time.Time) (*handler.Request, *handler.Outcome) {
+func (c *Callers) accept(x echo.Context, now time.Time) (*handler.Request, *handler.Outcome) {
+	q := x.Request()
 	service, kind, path := handler.Route(q.URL.RequestURI())
 	p := c.Settings().Policy(c.Place, service, kind)
 	if p == nil {
 		return nil, handler.Refuse(handler.CauseName, 0)
 	}
+	// A body that does not come in time must not hold the connection for ever; a
+	// connection without deadlines cannot be bounded.
+	w := http.NewResponseController(x.Response())
+	_ = w.SetReadDeadline(now.Add(p.Deadline))
 	body, err := io.ReadAll(http.MaxBytesReader(nil, q.Body, p.Body))
 	if err != nil {
 		var large *http.MaxBytesError
@@ -106,6 +112,7 @@
 		}
 		return nil, handler.Refuse(handler.CauseCancelled, 0)
 	}
+	_ = w.SetReadDeadline(time.Time{})
 	return handler.NewRequest(p, q.Method, path, q.Header, body, now), nil
 }
 
@@ -119,6 +126,9 @@
 	if c.Leaving() {
 		h.Set("Connection", "close")
 	}
+	if o.Kind == handler.Done && len(m.Body) > 0 {
+		h.Set("Content-Length", strconv.Itoa(len(m.Body)))
+	}
 	w.WriteHeader(m.Status)
 	_, err := w.Write(m.Body)
 	return trace.Wrap(err)
--- /dev/null
+++ b/internal/process/waker/guard.go
@@ -0,0 +1,48 @@
+package waker
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// Period is the time between two beats.
+	Period = 100 * time.Millisecond
+	// Limit is the time without a beat after which beliefs count as old.
+	Limit = 2 * time.Second
+)
+
+// Guard tells whether the process may rely on what it believes. Its methods may
+// be called concurrently.
+type Guard struct {
+	// base is the start of the clock; it carries the monotonic time.
+	base time.Time
+	// last is the time of the newest beat since base, in nanoseconds.
+	last atomic.Int64
+}
+
+// New returns a guard whose first beat is now.
+func New(now time.Time) *Guard {
+	return &Guard{base: now}
+}
+
+// Old tells whether no beat came for longer than the limit. It takes no lock and
+// sees a pause at once, also before any other part of the process has noticed it.
+func (g *Guard) Old(now time.Time) bool {
+	return now.Sub(g.base)-time.Duration(g.last.Load()) > Limit
+}
+
+// Beat records that the process runs. It does nothing and returns false when
+// beliefs are old: then Renew must follow once they have been made current.
+func (g *Guard) Beat(now time.Time) bool {
+	if g.Old(now) {
+		return false
+	}
+	g.last.Store(int64(now.Sub(g.base)))
+	return true
+}
+
+// Renew records that the beliefs were made current.
+func (g *Guard) Renew(now time.Time) {
+	g.last.Store(int64(now.Sub(g.base)))
+}
--- a/internal/request/handler/handler.go
+++ b/internal/request/handler/handler.go
@@ -17,6 +17,9 @@
 type Handler struct {
 	// Dispatcher returns the decider of a service.
 	Dispatcher func(place, service string) *dispatcher.Dispatcher
+	// Old tells that the process has been paused and has not yet asked its peers
+	// what has changed.
+	Old func(now time.Time) bool
 	// Quarantine contains requests that crash their targets.
 	Quarantine *quarantiner.Table
 	// Send sends one request to one target.
@@ -63,6 +66,9 @@
 // Handle carries a request to its outcome. The context ends with the caller's
 // connection; a request that may run only once goes on without the caller.
 func (h *Handler) Handle(ctx context.Context, r *Request) *Outcome {
+	if h.Old(h.Clock()) {
+		return Refuse(CausePaused, 0)
+	}
 	r.fingerprint = r.sum()
 	if r.Policy.Once {
 		ctx = context.WithoutCancel(ctx)
--- a/internal/request/handler/handler_test.go
+++ b/internal/request/handler/handler_test.go
@@ -87,6 +87,7 @@
 	d.Configure(p, known, time.Now())
 	return &Handler{
 		Dispatcher: func(string, string) *dispatcher.Dispatcher { return d },
+		Old:        func(time.Time) bool { return false },
 		Quarantine: quarantiner.New(quarantiner.DefaultLimits),
 		Send:       f.send,
 		Start:      func(*Request, netip.AddrPort) string { return "run" },
@@ -147,6 +148,17 @@
 	}
 }
 
+func TestPausedInstanceStartsNoWork(t *testing.T) {
+	f := &fake{script: []reply{{status: 200, effect: sender.Done}}}
+	p := policy(false)
+	h := newHandler(f, p, 3)
+	h.Old = func(time.Time) bool { return true }
+	o := h.Handle(context.Background(), request(p))
+	require.Equal(t, Unrun, o.Kind)
+	require.Equal(t, CausePaused, o.Cause)
+	require.Zero(t, f.sent())
+}
+
 func TestLoserIsCancelled(t *testing.T) {
 	f := &fake{script: []reply{{after: never, effect: sender.Done}, {status: 200, effect: sender.Done}}}
 	p := policy(false)
--- a/internal/request/handler/outcome.go
+++ b/internal/request/handler/outcome.go
@@ -38,6 +38,7 @@
 	CauseUnreached  Cause = "unreached"
 	CauseQuarantine Cause = "quarantine"
 	CauseCancelled  Cause = "cancelled"
+	CausePaused     Cause = "paused"
 )
 
 // Record describes one cause to callers.
@@ -74,6 +75,7 @@
 	{Cause: CauseDropped, Status: http.StatusConflict, Text: "the operation has run; its answer is no longer kept", Final: true},
 	{Cause: CauseUnreached, Status: http.StatusBadGateway, Text: "the executor of the operation is out of reach", Retry: retryLate},
 	{Cause: CauseQuarantine, Status: http.StatusUnprocessableEntity, Text: "the request broke the targets that ran it", Final: true},
+	{Cause: CausePaused, Status: http.StatusServiceUnavailable, Text: "the instance has been paused and is asking its peers what has changed", Retry: retrySoon},
 	{Cause: CauseCancelled, Status: http.StatusGatewayTimeout, Text: "the caller went away", Retry: retrySoon},
 }
 
--- a/internal/request/handler/race.go
+++ b/internal/request/handler/race.go
@@ -108,9 +108,10 @@
 	return nil
 }
 
-// permitted tells whether the request may still be sent.
+// permitted tells whether the request may still be sent: its deadline has not
+// passed, and the process was not paused since it chose the target.
 func (c *race) permitted(now time.Time) bool {
-	if !now.Before(c.request.Deadline) {
+	if !now.Before(c.request.Deadline) || c.handler.Old(now) {
 		return false
 	}
 	return c.made > 0 || c.request.Permit == nil || c.request.Permit(now)
