Give targets that were listed first their whole room

(1) A target that was in the first list has no start time; the time since then overflowed to below zero, so it stayed at the foot of its ramp with one request outstanding instead of three. (2) A home that was given up kept almost no room while callers still held its answers. (3) Refused calls counted as load and added homes. (4) A queue without any request outstanding was looked at only every 500 ms, since no event tells that a report has grown old. Ruled out: the stand-ins (two choices finished every request at this load); a partial view of the fleet at the start alone (with 4 s to settle it was worse). Change: a zero start time means the whole room; targets are held for as long as answers are kept; only first tries that were sent count as load; waiting requests look for room each 5 ms; any instance may borrow the slots that owners leave free.

--- a/internal/process/assembler/accounts.go
+++ b/internal/process/assembler/accounts.go
@@ -24,6 +24,10 @@
 	c := i.accounts.Counters(key(r.Policy))
 	c.Target.Add(int64(a.Latency))
 	switch a.Role {
+	case handler.First:
+		// Refused calls are not counted, since callers repeat them: a home that is
+		// short of room would seem to need many more homes.
+		i.services.get(r.Policy.Place, r.Policy.Service, i.handler.Clock()).meter.Add()
 	case handler.Retry:
 		c.Retries.Add(1)
 	case handler.Second:
--- a/internal/process/assembler/instance.go
+++ b/internal/process/assembler/instance.go
@@ -144,7 +144,6 @@
 
 // Handle carries one request of a caller.
 func (i *Instance) Handle(ctx context.Context, r *handler.Request) *handler.Outcome {
-	i.services.get(r.Policy.Place, r.Policy.Service, r.Arrived).meter.Add()
 	var o *handler.Outcome
 	if r.Policy.Once {
 		o = i.operator.Handle(ctx, r)
--- a/internal/process/assembler/refresher.go
+++ b/internal/process/assembler/refresher.go
@@ -44,8 +44,9 @@
 			continue
 		}
 		usable := i.tracker.Usable(key.Place, key.Service, now)
-		owned := i.owned(plan, p, usable)
-		i.services.get(key.Place, key.Service, now).configure(p, usable, owned, now)
+		v := i.services.get(key.Place, key.Service, now)
+		owned := v.hold(i.owned(plan, p, usable), usable, settleTime+p.Keep, now)
+		v.configure(p, usable, owned, now)
 		for _, t := range usable {
 			i.sender.Share(t.Address, p.Connections/p.Fleet)
 			homes[t.Address] = tracker.Service{Place: key.Place, Service: key.Service}
--- a/internal/process/assembler/services.go
+++ b/internal/process/assembler/services.go
@@ -20,6 +20,9 @@
 	prober     *prober.Prober
 	// meter measures the requests that this instance takes.
 	meter steerer.Meter
+	// held tells until when this instance owns targets, also those that it has
+	// given up; the refresher owns it.
+	held map[netip.AddrPort]time.Time
 	// scaler decides how many homes are active; the refresher owns it.
 	scaler steerer.Scaler
 }
@@ -55,7 +58,7 @@
 	d := dispatcher.New(place, name)
 	d.Zone = s.zone
 	d.Baseline = dispatcher.Baselines(s.policy)
-	made := &service{dispatcher: d, prober: prober.New(prober.Rate{}, prober.Weights{}, now)}
+	made := &service{dispatcher: d, held: map[netip.AddrPort]time.Time{}, prober: prober.New(prober.Rate{}, prober.Weights{}, now)}
 	grown := maps.Clone(old)
 	grown[key] = made
 	s.current.Store(&grown)
@@ -67,6 +70,19 @@
 	return *s.current.Load()
 }
 
+// hold keeps the targets that this instance owns for as long as callers may keep
+// the answers that led them here. Otherwise a home that gives up targets would
+// have to refuse the calls that still come.
+func (s *service) hold(owned func(netip.AddrPort) bool, usable []tracker.Target, keep time.Duration, now time.Time) func(netip.AddrPort) bool {
+	for _, t := range usable {
+		if owned(t.Address) {
+			s.held[t.Address] = now.Add(keep)
+		}
+	}
+	maps.DeleteFunc(s.held, func(_ netip.AddrPort, until time.Time) bool { return !now.Before(until) })
+	return func(target netip.AddrPort) bool { return now.Before(s.held[target]) }
+}
+
 // configure hands the settings and the usable targets to the parts of a service.
 func (s *service) configure(p *resolver.Policy, usable []tracker.Target, owned func(netip.AddrPort) bool, now time.Time) {
 	targets := make([]dispatcher.Target, 0, len(usable))
--- a/internal/process/dispatcher/offer.go
+++ b/internal/process/dispatcher/offer.go
@@ -87,30 +87,29 @@
 		return answer.Lease, answer.Refusal
 	}
 	ticket := answer.Ticket
-	timer := time.NewTimer(ticket.Until().Sub(want.Now))
-	defer timer.Stop()
 	present := func() time.Time { return want.Now.Add(time.Since(started)) }
-	select {
-	case answer = <-ticket.Done:
-	case <-timer.C:
-		d.Expire(present())
-		answer = d.settled(ticket, present())
-	case <-ctx.Done():
-		if d.Cancel(ticket, present()) {
-			return nil, &Refusal{Cause: queuer.Withdrawn}
+	look := time.NewTicker(lookPeriod)
+	defer look.Stop()
+	for {
+		select {
+		case answer = <-ticket.Done:
+			return answer.Lease, answer.Refusal
+		case <-look.C:
+			d.Expire(present())
+		case <-ctx.Done():
+			if d.Cancel(ticket, present()) {
+				return nil, &Refusal{Cause: queuer.Withdrawn}
+			}
+			answer = <-ticket.Done
+			return answer.Lease, answer.Refusal
 		}
-		answer = <-ticket.Done
 	}
-	return answer.Lease, answer.Refusal
 }
 
-// settled returns the end of a ticket whose time is over.
-func (d *Dispatcher) settled(ticket *Ticket, now time.Time) Answer {
-	if d.Cancel(ticket, now) {
-		return Answer{Refusal: &Refusal{Cause: ticket.entry.Cause, Retry: soonestRetry}}
-	}
-	return <-ticket.Done
-}
+// lookPeriod is the time between two looks for room that comes with time alone:
+// a report grows old, an ejection ends, a target starts. No event tells of these,
+// and while no request is outstanding here none ends either.
+const lookPeriod = 5 * time.Millisecond
 
 // Offer grants a request room at a target, queues it, or refuses it.
 func (d *Dispatcher) Offer(want Want, now time.Time) Answer {
--- a/internal/request/chooser/set.go
+++ b/internal/request/chooser/set.go
@@ -1,6 +1,7 @@
 package chooser
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"sync/atomic"
@@ -18,7 +19,8 @@
 	Owned bool
 	// Foreign tells that the target is in another availability zone.
 	Foreign bool
-	// Since is when the target's present run was first seen.
+	// Since is when the target's present run was first seen; zero when it may have
+	// been running for long.
 	Since time.Time
 	// Warming tells that the target says it is still starting.
 	Warming bool
@@ -136,8 +138,8 @@
 			return 0
 		}
 		return 1
-	case !c.Owned && !s.borrows(t, at):
-		return 0
+	case !c.Owned:
+		return s.borrowed(c, at)
 	}
 	share := s.share(c, at)
 	if share >= 1 {
@@ -154,7 +156,10 @@
 	if s.Ramp <= 0 {
 		return 1
 	}
-	share := float64(at-s.ticks(c.Since)) / float64(s.Ramp)
+	share := 1.0
+	if !c.Since.IsZero() {
+		share = float64(at-s.ticks(c.Since)) / float64(s.Ramp)
+	}
 	if c.Warming {
 		share = min(share, warmingShare)
 	}
@@ -179,14 +184,19 @@
 // idleAge is the age up to which a report shows a target to be idle.
 const idleAge = 100 * time.Millisecond
 
-// borrows tells whether a target of other owners may be used: when it has just
-// reported to be idle, or when this instance owns no target and knows nothing.
-func (s *Set) borrows(t *Target, at int64) bool {
-	r := t.report.Load()
-	if r == nil || at-t.reportedAt.Load() > int64(idleAge) {
-		return !s.owners
+// borrowed returns the room at a target of other owners: the slots that they
+// leave free by a fresh report. Without one an owner of other targets keeps away,
+// and an instance that owns none, as when it stands in for a lost home, tries one.
+func (s *Set) borrowed(c *Candidate, at int64) int {
+	t := c.Target
+	if t.report.Load() == nil || at-t.reportedAt.Load() > int64(idleAge) {
+		if s.owners {
+			return 0
+		}
+		return min(1, c.Limit)
 	}
-	return r.Running+r.Queued == 0 || (!s.owners && r.Running+r.Queued < r.Slots)
+	free := s.Slots - int(math.Ceil(math.Float64frombits(t.external.Load())))
+	return max(0, min(free, c.Limit))
 }
 
 // Usable tells whether some target may take requests at all.
--- a/internal/request/queuer/limit.go
+++ b/internal/request/queuer/limit.go
@@ -12,7 +12,7 @@
 // exceeds the instance's share of the target's connections, because each
 // outstanding request holds one.
 func Limit(p *resolver.Policy, owned bool, share float64) int {
-	limit := 1
+	limit := p.Slots
 	if owned {
 		limit = max(1, int(math.Round(float64(p.Slots+p.Spare)*wholeIfUnset(share))))
 	}
