Judge a target's slowness by likelihood instead of an average

Cause: with exponential work one long answer says little, and the average of ratios called healthy targets slow (p50 grew with its gain). Change: the odds that a target is slow, from answers and from the ages of all its outstanding requests; a request that was sent behind others is judged by the time it was bound to take.

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -150,10 +150,11 @@
 }
 
 // HedgeDelay returns how long after a first try's start a second one may be
-// asked for; ok is false when the kind has none.
+// asked for; ok is false when the kind has none. It is longer than the policy's
+// while so many answers take that long that they would use up the budget.
 func (d *Dispatcher) HedgeDelay(p *resolver.Policy) (delay time.Duration, ok bool) {
 	if d.Baseline != nil || !retrier.Hedged(p) {
 		return 0, false
 	}
-	return p.Hedge, true
+	return max(p.Hedge, d.normal(p.Kind).Slow()), true
 }
--- a/internal/process/dispatcher/ranking_test.go
+++ b/internal/process/dispatcher/ranking_test.go
@@ -108,8 +108,12 @@
 type variant struct {
 	homes, spare int
 	// split gives each home its own part of the targets.
-	split  bool
-	hedge  bool
+	split      bool
+	hedge      bool
+	hedgeAfter time.Duration
+	ratio      float64
+	// gossip is how often homes tell each other the load of their targets.
+	gossip time.Duration
 	tuning func(*chooser.Tuning)
 }
 
@@ -143,6 +147,11 @@
 			Failures: 5, Eject: time.Second, Connections: 250, Fleet: 32,
 		}
 	}
+	if v.ratio > 0 {
+		for _, p := range f.policies {
+			p.Ratio, p.Hedge = v.ratio, v.hedgeAfter
+		}
+	}
 	for home := range v.homes {
 		d := New("himal", "lookup")
 		d.Zone, d.Random = zone(home), w.random.Uint64
@@ -158,11 +167,41 @@
 		d.Configure(f.policies[0], targets, f.at())
 		f.homes = append(f.homes, d)
 	}
+	if v.gossip > 0 {
+		f.tell(v.gossip)
+	}
 	return f
 }
 
-func zone(i int) string            { return string(rune('a' + i%worldZones)) }
-func address(i int) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80) }
+// tell lets each home hear the others' load of their own targets.
+func (f *fleet) tell(every time.Duration) {
+	for home, d := range f.homes {
+		for _, target := range d.Snapshot(f.at()).Targets {
+			if !target.Owned {
+				continue
+			}
+			r, at := Report{Running: target.Outstanding, Slots: worldSlots}, f.at()
+			if target.Slowness > 2 {
+				r.Queued = worldSlots
+			}
+			f.world.after(foreignDelay, func() {
+				for other, d := range f.homes {
+					if other != home {
+						d.Hear(target.Address, r, at)
+						d.Expire(f.at())
+						f.settle(other)
+					}
+				}
+			})
+		}
+	}
+	f.world.after(every, func() { f.tell(every) })
+}
+
+func zone(i int) string { return string(rune('a' + i%worldZones)) }
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)
+}
 
 func (f *fleet) at() time.Time { return time.Unix(0, int64(f.world.now)) }
 
@@ -254,14 +293,14 @@
 			send(l)
 			return
 		}
-		f.world.after(delay/4, attempt)
+		f.world.after(delay/8, attempt)
 	}
 	f.world.after(delay, attempt)
 }
 
 // ways lists what is ranked.
 func ways() []way {
-	plain := func(t *chooser.Tuning) { t.Patience, t.Stale = 0, 0 }
+	plain := func(t *chooser.Tuning) { t.Ages, t.Stale = false, 0 }
 	aged := func(t *chooser.Tuning) { t.Stale = 0 }
 	list := []way{
 		direct("random, 16 instances", 16, func(w *world) (func(int) int, func(int, int, time.Duration)) {
@@ -276,6 +315,39 @@
 	for _, homes := range []int{16, 4, 2, 1} {
 		list = append(list, counting(fmt.Sprintf("least in flight x average, %d homes", homes), homes, leastTimesAverage))
 	}
+	if os.Getenv("TRY") != "" {
+		try := func(name string, v variant) {
+			v.spare, v.hedge = 1, true
+			list = append(list, ours("try "+name, v))
+		}
+		try("base", variant{homes: 1})
+		for _, n := range []time.Duration{8, 10, 20} {
+			try(fmt.Sprint("hedge ", n), variant{homes: 1, hedgeAfter: n * time.Millisecond, ratio: 0.03})
+		}
+		for _, n := range []float64{2, 3, 6} {
+			try(fmt.Sprint("factor ", n), variant{homes: 1, tuning: func(t *chooser.Tuning) { t.Factor = n }})
+		}
+		for _, n := range []float64{0.01, 0.1} {
+			try(fmt.Sprint("prior ", n), variant{homes: 1, tuning: func(t *chooser.Tuning) { t.Prior = n }})
+		}
+		for _, n := range []time.Duration{20, 120} {
+			try(fmt.Sprint("forget ", n), variant{homes: 1, tuning: func(t *chooser.Tuning) { t.Forget = n * time.Millisecond }})
+		}
+		for _, n := range []float64{0, 0.3} {
+			try(fmt.Sprint("spread ", n), variant{homes: 1, tuning: func(t *chooser.Tuning) { t.Spread = n }})
+			try(fmt.Sprint("foreign ", n), variant{homes: 1, tuning: func(t *chooser.Tuning) { t.Foreign = n }})
+		}
+		try("no ages", variant{homes: 1, tuning: func(t *chooser.Tuning) { t.Ages = false }})
+		for _, n := range []time.Duration{0, 5, 60} {
+			try(fmt.Sprint("2 homes, stale ", n), variant{homes: 2, tuning: func(t *chooser.Tuning) { t.Stale = n * time.Millisecond }})
+		}
+		try("2 homes split", variant{homes: 2, split: true})
+		try("2 homes split gossip", variant{homes: 2, split: true, gossip: 5 * time.Millisecond})
+		try("2 homes gossip", variant{homes: 2, gossip: 5 * time.Millisecond})
+		try("3 homes", variant{homes: 3})
+		try("3 homes split", variant{homes: 3, split: true})
+		try("3 homes split gossip", variant{homes: 3, split: true, gossip: 5 * time.Millisecond})
+	}
 	for _, homes := range []int{1, 2} {
 		for _, split := range []bool{false, true}[:homes] {
 			label := fmt.Sprintf("%d homes, split %v", homes, split)
--- a/internal/process/dispatcher/world_test.go
+++ b/internal/process/dispatcher/world_test.go
@@ -35,10 +35,12 @@
 
 type events []event
 
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
 func (e *events) Pop() any {
 	last := (*e)[len(*e)-1]
 	*e = (*e)[:len(*e)-1]
@@ -75,7 +77,7 @@
 type try struct {
 	work   time.Duration
 	server *server
-	gone     bool
+	gone   bool
 	// ended is called when the answer is back at the instance.
 	ended func(Report)
 }
--- a/internal/request/chooser/set.go
+++ b/internal/request/chooser/set.go
@@ -70,15 +70,15 @@
 // Pick takes room for one request at the best target that has any. The mark is
 // handed to Target.End when the request is over. ok is false when no target
 // has room.
-func (s *Set) Pick(q Query, now time.Time) (c *Candidate, mark int, ok bool) {
+func (s *Set) Pick(q Query, now time.Time) (c *Candidate, mark Mark, ok bool) {
 	at := s.ticks(now)
 	for {
 		best := s.best(&q, at)
 		if best < 0 {
-			return nil, 0, false
+			return nil, Mark{}, false
 		}
 		c := &s.Candidates[best]
-		if mark, ok := c.Target.Begin(s.room(c, &q, at), q.Normal, now); ok {
+		if mark, ok := c.Target.Begin(s.room(c, &q, at), s.Slots, q.Normal, now); ok {
 			return c, mark, true
 		}
 	}
@@ -121,8 +121,10 @@
 	if c.Target.Outstanding() >= s.room(c, q, at) || slices.Contains(q.Exclude, c.Target.Address) {
 		return false
 	}
-	if q.Slowest > 0 && s.slowness(c.Target, at) > q.Slowest {
-		return false
+	if q.Slowest > 0 {
+		if slowness, _ := c.Target.slowness(at); slowness > q.Slowest {
+			return false
+		}
 	}
 	return !q.Free || float64(c.Target.Outstanding())+c.Target.others(at) < float64(s.Slots)
 }
