Keep the room beyond a target's slots for urgent requests and hedges

Change: requests that may wait take slots only, except at an aged ticket's turn; a second try may use any room under the limit that no request of its priority or above waits for. The turn of aged tickets falls from one grant in 8 to one in 16 and comes after half of a ticket's time.

--- a/internal/process/dispatcher/offer.go
+++ b/internal/process/dispatcher/offer.go
@@ -125,7 +125,7 @@
 		return Answer{Refusal: &Refusal{Cause: queuer.Late, Retry: d.comeBack(soonestRetry)}}
 	}
 	if d.waiting.Load() == 0 {
-		if lease := d.pick(&want, chooser.Query{}, now); lease != nil {
+		if lease := d.pick(&want, chooser.Query{Reserved: d.reserved(want.Policy)}, now); lease != nil {
 			d.granted(&want)
 			return Answer{Lease: lease}
 		}
@@ -133,6 +133,12 @@
 	return d.enqueue(want, n, due, now)
 }
 
+// reserved tells whether a kind is kept out of the room beyond the targets' slots,
+// which stays free for urgent requests.
+func (d *Dispatcher) reserved(p *resolver.Policy) bool {
+	return d.Tuning.Reserve && p.Priority != resolver.Urgent
+}
+
 // granted fills the budgets for a first try.
 func (d *Dispatcher) granted(want *Want) {
 	if want.Tries == 0 {
@@ -236,8 +242,9 @@
 			continue
 		}
 		var lease *Lease
-		entry := d.queue.Grant(now, grantDepth, func(e *queuer.Ticket) bool {
-			lease = d.pick(&e.Value.(*Ticket).want, chooser.Query{}, now)
+		entry := d.queue.Grant(now, grantDepth, func(e *queuer.Ticket, aged bool) bool {
+			want := &e.Value.(*Ticket).want
+			lease = d.pick(want, chooser.Query{Reserved: d.reserved(want.Policy) && !aged}, now)
 			return lease != nil
 		})
 		if entry == nil {
@@ -269,13 +276,14 @@
 	d.drain(now)
 }
 
-// Hedge grants a second try of a slow request into free room, within the budget.
-// want excludes the target of the first try.
+// Hedge grants a second try of a slow request, within the budget, into room that
+// no first try of its priority or above waits for. want excludes the target of
+// the first try.
 func (d *Dispatcher) Hedge(want Want, now time.Time) (*Lease, bool) {
-	if !d.retry.Hedge(want.Policy, d.waiting.Load() > 0) {
+	if !d.retry.Hedge(want.Policy, d.overloaded(want.Policy.Priority)) {
 		return nil, false
 	}
-	lease := d.pick(&want, chooser.Query{Free: true, Slowest: hedgeSlowest}, now)
+	lease := d.pick(&want, chooser.Query{Slowest: hedgeSlowest}, now)
 	if lease == nil {
 		d.retry.Unhedge()
 		return nil, false
@@ -283,6 +291,16 @@
 	return lease, true
 }
 
+// overloaded tells whether requests of the priority or above wait for room.
+func (d *Dispatcher) overloaded(p resolver.Priority) bool {
+	if d.waiting.Load() == 0 {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.queue.Ahead(p) > 0
+}
+
 // hedgeSlowest is the slowness up to which a target is worth a second try.
 const hedgeSlowest = 2
 
--- a/internal/process/dispatcher/ranking_test.go
+++ b/internal/process/dispatcher/ranking_test.go
@@ -298,10 +298,29 @@
 	f.world.after(delay, attempt)
 }
 
+// steps adds one mechanism after the other.
+func steps(v variant) []way {
+	v.spare = 1
+	label := fmt.Sprintf("%d homes", v.homes)
+	if v.split {
+		label += ", owners"
+	}
+	var list []way
+	for i, name := range []string{"limit and queue", "+ ages", "+ reports", "+ reserve", "+ hedges"} {
+		v.hedge = i >= 4
+		v.tuning = func(t *chooser.Tuning) {
+			t.Ages, t.Reserve = i >= 1, i >= 3
+			if i < 2 {
+				t.Stale = 0
+			}
+		}
+		list = append(list, ours(label+": "+name, v))
+	}
+	return list
+}
+
 // ways lists what is ranked.
 func ways() []way {
-	plain := func(t *chooser.Tuning) { t.Ages, t.Stale = false, 0 }
-	aged := func(t *chooser.Tuning) { t.Stale = 0 }
 	list := []way{
 		direct("random, 16 instances", 16, func(w *world) (func(int) int, func(int, int, time.Duration)) {
 			return func(int) int { return w.random.Intn(worldTargets) }, nothing
@@ -315,50 +334,13 @@
 	for _, homes := range []int{16, 4, 2, 1} {
 		list = append(list, counting(fmt.Sprintf("least in flight x average, %d homes", homes), homes, leastTimesAverage))
 	}
-	if os.Getenv("TRY") != "" {
-		try := func(name string, v variant) {
-			v.spare, v.hedge = 1, true
-			list = append(list, ours("try "+name, v))
-		}
-		try("base", variant{homes: 1})
-		for _, n := range []time.Duration{8, 10, 20} {
-			try(fmt.Sprint("hedge ", n), variant{homes: 1, hedgeAfter: n * time.Millisecond, ratio: 0.03})
-		}
-		for _, n := range []float64{2, 3, 6} {
-			try(fmt.Sprint("factor ", n), variant{homes: 1, tuning: func(t *chooser.Tuning) { t.Factor = n }})
-		}
-		for _, n := range []float64{0.01, 0.1} {
-			try(fmt.Sprint("prior ", n), variant{homes: 1, tuning: func(t *chooser.Tuning) { t.Prior = n }})
-		}
-		for _, n := range []time.Duration{20, 120} {
-			try(fmt.Sprint("forget ", n), variant{homes: 1, tuning: func(t *chooser.Tuning) { t.Forget = n * time.Millisecond }})
-		}
-		for _, n := range []float64{0, 0.3} {
-			try(fmt.Sprint("spread ", n), variant{homes: 1, tuning: func(t *chooser.Tuning) { t.Spread = n }})
-			try(fmt.Sprint("foreign ", n), variant{homes: 1, tuning: func(t *chooser.Tuning) { t.Foreign = n }})
-		}
-		try("no ages", variant{homes: 1, tuning: func(t *chooser.Tuning) { t.Ages = false }})
-		for _, n := range []time.Duration{0, 5, 60} {
-			try(fmt.Sprint("2 homes, stale ", n), variant{homes: 2, tuning: func(t *chooser.Tuning) { t.Stale = n * time.Millisecond }})
-		}
-		try("2 homes split", variant{homes: 2, split: true})
-		try("2 homes split gossip", variant{homes: 2, split: true, gossip: 5 * time.Millisecond})
-		try("2 homes gossip", variant{homes: 2, gossip: 5 * time.Millisecond})
-		try("3 homes", variant{homes: 3})
-		try("3 homes split", variant{homes: 3, split: true})
-		try("3 homes split gossip", variant{homes: 3, split: true, gossip: 5 * time.Millisecond})
-	}
-	for _, homes := range []int{1, 2} {
-		for _, split := range []bool{false, true}[:homes] {
-			label := fmt.Sprintf("%d homes, split %v", homes, split)
-			list = append(list,
-				ours(label+": limit and queue", variant{homes: homes, split: split, spare: 1, tuning: plain}),
-				ours(label+": + age of oldest", variant{homes: homes, split: split, spare: 1, tuning: aged}),
-				ours(label+": + reports", variant{homes: homes, split: split, spare: 1}),
-				ours(label+": + hedges", variant{homes: homes, split: split, spare: 1, hedge: true}),
-				ours(label+": + hedges, no spare", variant{homes: homes, split: split, spare: 0, hedge: true}),
-			)
-		}
+	for _, v := range []variant{
+		{homes: 1},
+		{homes: 2},
+		{homes: 2, split: true, gossip: 5 * time.Millisecond},
+		{homes: 3, split: true, gossip: 5 * time.Millisecond},
+	} {
+		list = append(list, steps(v)...)
 	}
 	return append(list, direct("bound: true load and slowness", 1, bound))
 }
--- a/internal/request/chooser/set.go
+++ b/internal/request/chooser/set.go
@@ -58,8 +58,8 @@
 	Exclude []netip.AddrPort
 	// Slowest is the greatest slowness that the request accepts; 0 accepts any.
 	Slowest float64
-	// Free asks for a target with a free slot, not only room below its limit.
-	Free bool
+	// Reserved keeps the request out of the room beyond a target's slots.
+	Reserved bool
 	// Normal is the normal latency of the request's kind, 0 when not known.
 	Normal time.Duration
 	// Random decides which part of a large Set is looked at, and whether a
@@ -126,7 +126,7 @@
 			return false
 		}
 	}
-	return !q.Free || float64(c.Target.Outstanding())+c.Target.others(at) < float64(s.Slots)
+	return true
 }
 
 // room returns how many requests a candidate may have outstanding.
@@ -143,14 +143,18 @@
 	case !c.Owned:
 		return s.borrowed(c, at)
 	}
+	limit := c.Limit
+	if q.Reserved {
+		limit = min(limit, s.Slots)
+	}
 	share := s.share(c, at)
 	if share >= 1 {
-		return c.Limit
+		return limit
 	}
 	if q.excludesStarting(share) {
 		return 0
 	}
-	return max(1, int(share*float64(c.Limit)))
+	return max(1, int(share*float64(limit)))
 }
 
 // share returns how far a started target has come along its ramp, up to 1.
--- a/internal/request/chooser/tuning.go
+++ b/internal/request/chooser/tuning.go
@@ -23,6 +23,8 @@
 	Failed float64
 	// Part is the share of targets that may be ejected at a time.
 	Part float64
+	// Reserve keeps the room beyond the slots for urgent requests.
+	Reserve bool
 	// Window bounds the candidates that one choice scores.
 	Window int
 }
@@ -30,7 +32,7 @@
 // DefaultTuning returns the constants in use.
 func DefaultTuning() Tuning {
 	return Tuning{
-		Factor: 4, Prior: 0.05, Forget: 60 * time.Millisecond, Ages: true,
+		Factor: 4, Prior: 0.05, Forget: 60 * time.Millisecond, Ages: true, Reserve: true,
 		Stale:   20 * time.Millisecond,
 		Spread:  0.1,
 		Foreign: 0.05,
--- a/internal/request/queuer/queue.go
+++ b/internal/request/queuer/queue.go
@@ -56,12 +56,17 @@
 const (
 	priorities = int(resolver.Queued) + 1
 	// turn is the number of grants of which one goes to an aged ticket.
-	turn = 8
-	// agedAfter is the time after which a ticket of a lower priority has a claim
-	// to a grant of each turn.
-	agedAfter = 100 * time.Millisecond
+	turn = 16
+	// longestAging bounds the time after which a ticket is aged.
+	longestAging = time.Second
 )
 
+// aged tells whether a ticket has waited half of its time, which gives it a
+// claim to one grant of each turn.
+func (t *Ticket) aged(now time.Time) bool {
+	return now.Sub(t.Arrived) >= min(longestAging, t.Until.Sub(t.Arrived)/2)
+}
+
 // Queue orders tickets by priority, and by arrival within a priority. One grant
 // of each turn goes to the longest waiting aged ticket of a lower priority, so
 // that none starves while grants go on.
@@ -137,16 +142,17 @@
 }
 
 // Grant offers the waiting tickets in order, up to depth of them, to try, which
-// tells whether it found room. The first with room is removed and returned.
-func (q *Queue) Grant(now time.Time, depth int, try func(*Ticket) bool) *Ticket {
+// tells whether it found room and is told
+// whether it is an aged ticket's turn. The first with room is removed and returned.
+func (q *Queue) Grant(now time.Time, depth int, try func(t *Ticket, aged bool) bool) *Ticket {
 	if q.grants >= turn-1 {
-		if t := q.aged(now); t != nil && try(t) {
+		if t := q.oldest(now); t != nil && try(t, true) {
 			return q.granted(t, true, now)
 		}
 	}
 	for i := range q.lists {
 		for t := q.lists[i].first; t != nil && depth > 0; t = t.next {
-			if depth--; try(t) {
+			if depth--; try(t, false) {
 				return q.granted(t, false, now)
 			}
 		}
@@ -164,19 +170,19 @@
 	return t
 }
 
-// aged returns the longest waiting aged ticket that is not next by priority.
-func (q *Queue) aged(now time.Time) *Ticket {
-	var oldest *Ticket
+// oldest returns the longest waiting aged ticket of a lower priority.
+func (q *Queue) oldest(now time.Time) *Ticket {
+	var found *Ticket
 	for i := 1; i < priorities; i++ {
 		t := q.lists[i].first
-		if t == nil || now.Sub(t.Arrived) < agedAfter {
+		if t == nil || !t.aged(now) {
 			continue
 		}
-		if oldest == nil || t.Arrived.Before(oldest.Arrived) {
-			oldest = t
+		if found == nil || t.Arrived.Before(found.Arrived) {
+			found = t
 		}
 	}
-	return oldest
+	return found
 }
 
 // Expected returns how long n tickets take to drain, given the rate that the
