--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -26,7 +26,7 @@
 	// Warming tells that the target says it is still starting.
 	Warming bool
 	// Owned tells that this instance is an owner of the target; any other
-	// instance borrows at most one slot, while the target reports to be idle.
+	// instance borrows the slots that the target reports to be free.
 	Owned bool
 	// Share is an owner's share of the target's room, 0 to 1; 0 means the whole.
 	Share float64
@@ -72,6 +72,7 @@
 		Place: place, Service: service,
 		Random: rand.Uint64, Tuning: chooser.DefaultTuning(), retry: retrier.New(),
 	}
+	d.record.every = recordEvery
 	d.view.Store(&view{policy: &resolver.Policy{}})
 	d.kinds.Store(&map[string]*chooser.Normal{})
 	return d
@@ -126,6 +127,9 @@
 			t.Hear(r, t.Outstanding(), at)
 		}
 	}
+	if d.waiting.Load() > 0 {
+		d.Expire(at)
+	}
 }
 
 // normal returns what is learnt about the latency of a kind.
--- a/internal/process/dispatcher/offer.go
+++ b/internal/process/dispatcher/offer.go
@@ -122,7 +122,7 @@
 	n := d.normal(want.Policy.Kind)
 	due := want.due(now)
 	if !now.Add(n.Mean()).Before(due) {
-		return Answer{Refusal: &Refusal{Cause: queuer.Late, Retry: d.comeBack(soonestRetry)}}
+		return d.refuse(&want, queuer.Late, soonestRetry, now)
 	}
 	if d.waiting.Load() == 0 {
 		if lease := d.pick(&want, chooser.Query{Reserved: d.reserved(want.Policy)}, now); lease != nil {
@@ -158,7 +158,7 @@
 	if !ok {
 		return nil
 	}
-	d.record.grant(set, c, want, now)
+	d.record.grant(set, c, q, want.Policy.Kind, now)
 	return &Lease{Target: c.Target.Address, Since: now, dispatcher: d, target: c.Target, mark: mark, normal: n}
 }
 
@@ -218,7 +218,7 @@
 
 func (d *Dispatcher) refuse(want *Want, cause queuer.Cause, expected time.Duration, now time.Time) Answer {
 	r := &Refusal{Cause: cause, Retry: d.comeBack(expected)}
-	d.record.refuse(want, r, now)
+	d.record.refuse(want.Policy.Kind, r, now)
 	return Answer{Refusal: r}
 }
 
--- a/internal/request/chooser/score.go
+++ b/internal/request/chooser/score.go
@@ -18,12 +18,16 @@
 	Score float64
 }
 
-// Explain returns the parts of a candidate's score.
-func (s *Set) Explain(c *Candidate, now time.Time) Parts { return s.score(c, s.ticks(now)) }
+// Explain returns the parts of a candidate's score, without mine of its
+// outstanding requests, and what keeps the request from it.
+func (s *Set) Explain(c *Candidate, q Query, mine int, now time.Time) (Parts, Bar) {
+	at := s.ticks(now)
+	return s.score(c, at, mine), s.bar(c, &q, at)
+}
 
-func (s *Set) score(c *Candidate, at int64) Parts {
+func (s *Set) score(c *Candidate, at int64, mine int) Parts {
 	t := c.Target
-	p := Parts{Outstanding: t.Outstanding(), Others: t.others(at)}
+	p := Parts{Outstanding: t.Outstanding() - mine, Others: t.others(at)}
 	p.Slowness, p.Age = t.slowness(at)
 	if c.Foreign {
 		p.Distance = s.tuning.Foreign
--- a/internal/request/chooser/target.go
+++ b/internal/request/chooser/target.go
@@ -157,6 +157,10 @@
 	leastEvidence, mostEvidence = 0.2, 20
 )
 
+// doubt is the probability of being slow, beyond that of an unknown target, from
+// which a target counts as slower than an unknown one.
+const doubt = 0.02
+
 // Observe learns from an answer that took ratio times the normal latency.
 //
 // A target is taken to be normal or slow by a factor. With exponential service
@@ -197,14 +201,16 @@
 }
 
 // slowness returns the expected time of a request relative to a normal target,
-// and the age of the oldest request in normal latencies.
+// and the age of the oldest request in normal latencies. A target known to be
+// normal is no better than an unknown one, so that each is tried again.
 func (t *Target) slowness(now int64) (slowness, oldest float64) {
 	odds := t.recentOdds(now)
 	oldest, sum := t.ages(now)
 	if t.tuning.Ages {
 		odds *= surviving(sum * (1 - 1/t.tuning.Factor))
 	}
-	slowness = 1 + (t.tuning.Factor-1)*odds/(1+odds)
+	unknown := t.tuning.Prior/(1+t.tuning.Prior) + doubt
+	slowness = 1 + (t.tuning.Factor-1)*max(0, odds/(1+odds)-unknown)
 	if t.tuning.Ages {
 		slowness = max(slowness, oldest/2)
 	}
--- a/internal/request/queuer/queue.go
+++ b/internal/request/queuer/queue.go
@@ -1,6 +1,7 @@
 package queuer
 
 import (
+	"cmp"
 	"time"
 
 	"oriolecourse.example/oriolecourse/internal/version/resolver"
@@ -55,8 +56,8 @@
 
 const (
 	priorities = int(resolver.Queued) + 1
-	// turn is the number of grants of which one goes to an aged ticket.
-	turn = 16
+	// grantsPerTurn is the number of grants of which one goes to an aged ticket.
+	grantsPerTurn = 16
 	// longestAging bounds the time after which a ticket is aged.
 	longestAging = time.Second
 )
@@ -78,7 +79,9 @@
 	length int
 	// grants counts the grants since an aged ticket had its turn.
 	grants int
-	drain  Drain
+	// turn replaces the grants per turn unless it is 0.
+	turn  int
+	drain Drain
 }
 
 // Len returns the number of waiting tickets.
@@ -145,7 +148,7 @@
 // tells whether it found room and is told
 // whether it is an aged ticket's turn. The first with room is removed and returned.
 func (q *Queue) Grant(now time.Time, depth int, try func(t *Ticket, aged bool) bool) *Ticket {
-	if q.grants >= turn-1 {
+	if q.grants >= cmp.Or(q.turn, grantsPerTurn)-1 {
 		if t := q.oldest(now); t != nil && try(t, true) {
 			return q.granted(t, true, now)
 		}
