Find overdue requests by a heap, and let one waiting request look for all

Cause: each waiting request looked for room every 5 ms, and each look searched the whole queue for requests whose time is over: the work of a full queue grew with the square of its length. A request that had been at every target, as with one target, waited in vain for another. Change: the queue keeps its tickets in a heap by the end of their wait; one look each 5 ms serves all waiting requests, a request at the end of its own wait looks in any case; exclusion is dropped when no other usable target is left. Ruled out: looking only at the end of a wait, since an ejection or a report that grows old frees room without an event.

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -56,8 +56,11 @@
 	// waiting counts the queued tickets; it is written with mu held and read
 	// without.
 	waiting atomic.Int32
-	mu      sync.Mutex
-	queue   queuer.Queue
+	// looked is the Unix time in nanoseconds when a waiting request last looked
+	// for room.
+	looked atomic.Int64
+	mu     sync.Mutex
+	queue  queuer.Queue
 }
 
 // view is one configuration; it is not modified.
--- a/internal/process/dispatcher/offer.go
+++ b/internal/process/dispatcher/offer.go
@@ -95,7 +95,7 @@
 		case answer = <-ticket.Done:
 			return answer.Lease, answer.Refusal
 		case <-look.C:
-			d.Expire(present())
+			d.look(ticket, present())
 		case <-ctx.Done():
 			if d.Cancel(ticket, present()) {
 				return nil, &Refusal{Cause: queuer.Withdrawn}
@@ -111,6 +111,17 @@
 // and while no request is outstanding here none ends either.
 const lookPeriod = 5 * time.Millisecond
 
+// look looks for room unless another waiting request has just done so.
+func (d *Dispatcher) look(t *Ticket, now time.Time) {
+	last := d.looked.Load()
+	if now.Before(t.Until()) && now.UnixNano()-last < int64(lookPeriod) {
+		return
+	}
+	if d.looked.CompareAndSwap(last, now.UnixNano()) || !now.Before(t.Until()) {
+		d.Expire(now)
+	}
+}
+
 // Offer grants a request room at a target, queues it, or refuses it.
 func (d *Dispatcher) Offer(want Want, now time.Time) Answer {
 	if d.Baseline != nil {
@@ -124,6 +135,9 @@
 	if !now.Add(n.Mean()).Before(due) {
 		return d.refuse(&want, queuer.Late, soonestRetry, now)
 	}
+	if len(want.Exclude) > 0 && d.excludesAll(want.Exclude) {
+		want.Exclude = nil
+	}
 	if d.waiting.Load() == 0 {
 		if lease := d.pick(&want, chooser.Query{Reserved: d.reserved(want.Policy)}, now); lease != nil {
 			d.granted(&want)
@@ -133,6 +147,13 @@
 	return d.enqueue(want, n, due, now)
 }
 
+// excludesAll tells whether no usable target is left, in which case a request
+// may go again where it has been.
+func (d *Dispatcher) excludesAll(exclude []netip.AddrPort) bool {
+	set := d.view.Load().set
+	return set != nil && !set.Usable(exclude)
+}
+
 // reserved tells whether a kind is kept out of the room beyond the targets' slots,
 // which stays free for urgent requests.
 func (d *Dispatcher) reserved(p *resolver.Policy) bool {
@@ -205,7 +226,7 @@
 // usable tells whether some target may have requests at all.
 func (d *Dispatcher) usable() bool {
 	set := d.view.Load().set
-	return set != nil && set.Usable()
+	return set != nil && set.Usable(nil)
 }
 
 // assumedRate returns the grants per second that the targets should reach.
--- a/internal/process/dispatcher/session_test.go
+++ b/internal/process/dispatcher/session_test.go
@@ -310,6 +310,16 @@
 			s.say("an order confirmation ended %v; try again: %v after %v", ending, ok, after)
 		}
 	}},
+	{"every target tried", 2, func(s *session) {
+		s.arrives("lookup 1", s.want(resolver.Urgent))
+		s.ends("lookup 1", Result{Kind: retrier.Shed, State: StateShed})
+		again := s.want(resolver.Urgent)
+		again.Tries, again.Exclude = 1, []netip.AddrPort{s.leases["lookup 1"].Target}
+		s.arrives("lookup 1 again", again)
+		s.ends("lookup 1 again", Result{Kind: retrier.Unsent})
+		again.Exclude = append(again.Exclude, s.leases["lookup 1 again"].Target)
+		s.arrives("lookup 1 once more", again)
+	}},
 	{"stale report", 2, func(s *session) {
 		s.d.Hear(address(0), Report{Running: 2, Queued: 2, Slots: 2}, s.now)
 		s.say("a reports 2 running and 2 queued")
--- a/internal/request/chooser/set.go
+++ b/internal/request/chooser/set.go
@@ -133,9 +133,12 @@
 	return found
 }
 
-// Usable tells whether some target may take requests at all.
-func (s *Set) Usable() bool {
-	return slices.ContainsFunc(s.Candidates, func(c Candidate) bool { return c.Limit > 0 && !c.Target.Closed() })
+// Usable tells whether some target other than the excluded ones may take requests
+// at all.
+func (s *Set) Usable(exclude []netip.AddrPort) bool {
+	return slices.ContainsFunc(s.Candidates, func(c Candidate) bool {
+		return c.Limit > 0 && !c.Target.Closed() && !slices.Contains(exclude, c.Target.Address)
+	})
 }
 
 // Capacity returns how many requests may be outstanding at all targets.
--- a/internal/request/queuer/queue.go
+++ b/internal/request/queuer/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"time"
 
 	"oriolecourse.example/oriolecourse/internal/version/resolver"
@@ -49,6 +50,8 @@
 
 	waiting    bool
 	prev, next *Ticket
+	// place is the ticket's index in the order of Until.
+	place int
 }
 
 // Waiting tells whether the ticket is in the queue.
@@ -75,8 +78,9 @@
 	// Capacity bounds the tickets.
 	Capacity int
 
-	lists  [priorities]list
-	length int
+	lists [priorities]list
+	// ends holds the waiting tickets, the one with the earliest Until first.
+	ends ends
 	// grants counts the grants since an aged ticket had its turn.
 	grants int
 	// turn replaces the grants per turn unless it is 0.
@@ -85,12 +89,12 @@
 }
 
 // Len returns the number of waiting tickets.
-func (q *Queue) Len() int { return q.length }
+func (q *Queue) Len() int { return len(q.ends) }
 
 // Push adds a ticket. When the queue is full, the youngest ticket of the lowest
 // priority below the new one is displaced; if there is none, ok is false.
 func (q *Queue) Push(t *Ticket) (displaced *Ticket, ok bool) {
-	if q.length >= q.Capacity {
+	if q.Len() >= q.Capacity {
 		if displaced = q.displaceable(t.Priority); displaced == nil {
 			return nil, false
 		}
@@ -98,7 +102,7 @@
 	}
 	q.lists[t.Priority].append(t)
 	t.waiting = true
-	q.length++
+	heap.Push(&q.ends, t)
 	return displaced, true
 }
 
@@ -118,7 +122,7 @@
 	}
 	q.lists[t.Priority].remove(t)
 	t.waiting = false
-	q.length--
+	heap.Remove(&q.ends, t.place)
 	return true
 }
 
@@ -133,15 +137,12 @@
 
 // Overdue removes and returns the next ticket whose time is over, or nil.
 func (q *Queue) Overdue(now time.Time) *Ticket {
-	for i := range q.lists {
-		for t := q.lists[i].first; t != nil; t = t.next {
-			if !now.Before(t.Until) {
-				q.Remove(t)
-				return t
-			}
-		}
+	if q.Len() == 0 || now.Before(q.ends[0].Until) {
+		return nil
 	}
-	return nil
+	t := q.ends[0]
+	q.Remove(t)
+	return t
 }
 
 // Grant offers the waiting tickets in order, up to depth of them, to try, which
@@ -165,7 +166,7 @@
 
 func (q *Queue) granted(t *Ticket, aged bool, now time.Time) *Ticket {
 	q.Remove(t)
-	q.drain.Granted(now, q.length > 0)
+	q.drain.Granted(now, q.Len() > 0)
 	q.grants++
 	if aged {
 		q.grants = 0
@@ -191,38 +192,3 @@
 // Expected returns how long n tickets take to drain, given the rate that the
 // targets should reach as long as none was seen.
 func (q *Queue) Expected(n int, assumed float64) time.Duration { return q.drain.Expected(n, assumed) }
-
-// Forget is to be called when the queue runs empty other than by a grant.
-func (q *Queue) Forget() { q.drain.pause() }
-
-// list is a doubly linked list of tickets.
-type list struct {
-	first, last *Ticket
-	length      int
-}
-
-func (l *list) append(t *Ticket) {
-	t.prev, t.next = l.last, nil
-	if l.last != nil {
-		l.last.next = t
-	} else {
-		l.first = t
-	}
-	l.last = t
-	l.length++
-}
-
-func (l *list) remove(t *Ticket) {
-	if t.prev != nil {
-		t.prev.next = t.next
-	} else {
-		l.first = t.next
-	}
-	if t.next != nil {
-		t.next.prev = t.prev
-	} else {
-		l.last = t.prev
-	}
-	t.prev, t.next = nil, nil
-	l.length--
-}
