--- a/internal/process/watcher/watcher.go
+++ b/internal/process/watcher/watcher.go
@@ -117,7 +117,7 @@
 		schedule: Schedule{Self: w.Self, Kind: k, Random: rand.Float64},
 		calls:    scope.Counter("calls"),
 	}
-	for i, name := range [results]string{"news", "same", "passed", "old", "refused", "failed"} {
+	for i, name := range [results]string{"news", "same", "old", "refused", "failed"} {
 		l.results[i] = scope.Tagged(map[string]string{"result": name}).Counter("answers")
 	}
 	return l
@@ -181,37 +181,30 @@
 // above the one in force even when a faulty one was refused, since operators
 // may mend a tree without raising its version.
 func (l *loop) call(c Call) (Result, error) {
-	before, wait := l.Stamp(l.kind), time.Duration(0)
-	after := before.Version
+	after, wait := l.Stamp(l.kind).Version, time.Duration(0)
 	switch c {
 	case Watch:
 		wait = Wait
 	case Reread:
 		after = max(after, 1) - 1
 	}
-	var text []byte
-	var err error
-	if text, err = l.get(after, wait); err != nil {
+	text, err := l.get(after, wait)
+	if err != nil {
 		return Failed, trace.Wrap(err)
 	}
 	if text == nil {
 		return Same, nil
 	}
-	return l.judge(text, before), nil
+	return l.judge(text), nil
 }
 
-// judge offers a document; before is what was in force when the call began.
-func (l *loop) judge(text []byte, before adopter.Stamp) Result {
-	v := l.Offer(l.kind, text, time.Now())
-	known := v == adopter.Known || v == adopter.Stale
-	switch {
-	case v == adopter.Accepted:
+func (l *loop) judge(text []byte) Result {
+	switch l.Offer(l.kind, text, time.Now()) {
+	case adopter.Accepted:
 		return News
-	case known && l.Stamp(l.kind) != before:
-		return Passed
-	case v == adopter.Known:
+	case adopter.Known:
 		return Same
-	case v == adopter.Stale:
+	case adopter.Stale:
 		return Old
 	}
 	return Refused
