Charge a loss to the run that got the request

Cause: the run was looked up when the loss was known; by then an answer of the target's follower may have told the new start, so two crashes of a target that is restarted at once counted as one lost run, and an answer of the follower took the loss back. Now the run is noted before the sending, and an answer counts for the start that it names. The new test fails on the former code: expected old, got follower.

--- a/internal/request/handler/handler_test.go
+++ b/internal/request/handler/handler_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -261,3 +262,20 @@
 	}
 	require.Equal(t, 1, f.sent())
 }
+
+func TestLossIsThatOfTheRunThatGotTheRequest(t *testing.T) {
+	p := policy(true)
+	h := newHandler(&fake{}, p, 1)
+	var start atomic.Pointer[string]
+	old, follower := "old", "follower"
+	start.Store(&old)
+	h.Start = func(*Request, netip.AddrPort) string { return *start.Load() }
+	h.Send = func(context.Context, netip.AddrPort, sender.Request) (*sender.Answer, sender.Effect, error) {
+		start.Store(&follower)
+		return nil, sender.Lost, errReply
+	}
+	var told quarantiner.Rumour
+	h.Tell = func(u quarantiner.Rumour) { told = u }
+	h.Handle(context.Background(), request(p))
+	require.Equal(t, old, told.Run.Start)
+}
--- a/internal/request/handler/race.go
+++ b/internal/request/handler/race.go
@@ -167,6 +167,9 @@
 // attempt sends the request once and releases the lease.
 func (h *Handler) attempt(ctx context.Context, r *Request, lease *dispatcher.Lease, role Role) Attempt {
 	begun := h.Clock()
+	// A crash is that of the run that got the request, which its follower may
+	// have replaced by the time the loss is known.
+	run := quarantiner.Run{Address: lease.Target, Start: h.Start(r, lease.Target)}
 	ctx, span := h.Tracer.Start(ctx, "send", oteltrace.WithSpanKind(oteltrace.SpanKindClient),
 		oteltrace.WithAttributes(
 			attribute.String("target", lease.Target.String()),
@@ -191,15 +194,17 @@
 	}
 	lease.Release(h.result(r, a, now), now)
 	h.Account(r, a)
-	h.judge(r, a, begun, now)
+	h.judge(r, a, run, begun, now)
 	return a
 }
 
 // judge reports to the quarantine how the target fared with the request.
-func (h *Handler) judge(r *Request, a Attempt, begun, now time.Time) {
-	run := quarantiner.Run{Address: a.Target, Start: h.Start(r, a.Target)}
+func (h *Handler) judge(r *Request, a Attempt, run quarantiner.Run, begun, now time.Time) {
 	switch {
 	case a.Answer != nil:
+		if start := a.Answer.Header.Get(HeaderStart); start != "" {
+			run.Start = start
+		}
 		h.Quarantine.Alive(run, begun, now)
 		// An answer that the request was shed says nothing of what it does.
 		if a.Effect != sender.Done {
