--- a/internal/process/assembler/life.go
+++ b/internal/process/assembler/life.go
@@ -16,6 +16,8 @@
 const (
 	// catchupTimeout bounds the questions of a starting instance to its peers.
 	catchupTimeout = 2 * time.Second
+	// joinTimeout bounds the wait of a starting instance for the membership.
+	joinTimeout = 2 * time.Second
 	// lookPeriod is the time between two looks for a condition of the start or end.
 	lookPeriod = 20 * time.Millisecond
 	// settleTime is how long it takes until all instances know that one is leaving.
@@ -81,23 +83,36 @@
 // is to stop.
 func (l *life) prepare() bool {
 	i := l.instance
-	l.catchup()
+	reached := l.catchup()
 	if !l.await(func() bool { return i.settings.Current() != nil && i.list.Current() != nil }) {
 		return false
 	}
 	if len(i.options.Seeds) == 0 {
 		// Only the list has told which peers there are.
-		l.catchup()
+		reached = l.catchup()
 	}
+	l.join(reached)
 	i.wake()
 	return l.await(func() bool { return i.plan.Load() != nil })
 }
 
-func (l *life) catchup() {
+// join waits until the instance has met the fleet if there is one, since answers
+// from a partial view lead callers to instances that are not homes.
+func (l *life) join(reached int) {
+	if reached == 0 {
+		return
+	}
+	limit := time.Now().Add(joinTimeout)
+	l.await(func() bool { return len(l.instance.relayer.Members()) > 0 || time.Now().After(limit) })
+}
+
+// catchup returns the number of peers that answered.
+func (l *life) catchup() int {
 	ctx, cancel := context.WithTimeout(context.Background(), catchupTimeout)
 	defer cancel()
 	reached := l.instance.relayer.Catchup(ctx, l.instance.list.Current())
 	_ = level.Info(l.instance.options.Logger).Log("msg", "catchup", "peers", reached)
+	return reached
 }
 
 // await waits for a condition; it is false when the instance is to stop first.
--- a/internal/process/dispatcher/baseline.go
+++ b/internal/process/dispatcher/baseline.go
@@ -56,7 +56,7 @@
 	}
 	c := &set.Candidates[d.Baseline(set.Candidates, d.Random())]
 	n := d.normal(want.Policy.Kind)
-	mark, ok := c.Target.Begin(math.MaxInt32, n.Mean(), now)
+	mark, ok := c.Target.Begin(math.MaxInt32, set.Slots, n.Mean(), now)
 	if !ok {
 		return nil
 	}
--- /dev/null
+++ b/internal/process/dispatcher/cost_test.go
@@ -0,0 +1,43 @@
+package dispatcher
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"oriolecourse.example/oriolecourse/internal/request/retrier"
+	"oriolecourse.example/oriolecourse/internal/version/resolver"
+)
+
+// BenchmarkDecision measures one grant and its release.
+func BenchmarkDecision(b *testing.B) {
+	for _, targets := range []int{12, 100, 1100} {
+		d := New("himal", "lookup")
+		p := &resolver.Policy{Kind: "find", Deadline: time.Second, Queue: 64, Slots: 64, Failures: 5, Eject: time.Second}
+		list := make([]Target, targets)
+		now := time.Now()
+		for i := range list {
+			list[i] = Target{Address: netip.AddrPortFrom(address(0).Addr(), uint16(i)), Start: "1", Owned: true, Since: now}
+		}
+		d.Configure(p, list, now)
+		decide := func() {
+			l := d.Offer(Want{Policy: p}, now).Lease
+			l.Release(Result{Kind: retrier.Done, Latency: time.Millisecond}, now)
+		}
+		b.Run(fmt.Sprintf("alone/%d", targets), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				decide()
+			}
+		})
+		b.Run(fmt.Sprintf("parallel/%d", targets), func(b *testing.B) {
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					decide()
+				}
+			})
+		})
+	}
+}
--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -26,7 +26,7 @@
 	// Warming tells that the target says it is still starting.
 	Warming bool
 	// Owned tells that this instance is an owner of the target; any other
-	// instance borrows at most one slot, while the target reports to be idle.
+	// instance borrows the slots that the target reports to be free.
 	Owned bool
 	// Share is an owner's share of the target's room, 0 to 1; 0 means the whole.
 	Share float64
@@ -56,8 +56,11 @@
 	// waiting counts the queued tickets; it is written with mu held and read
 	// without.
 	waiting atomic.Int32
-	mu      sync.Mutex
-	queue   queuer.Queue
+	// looked is the Unix time in nanoseconds when a waiting request last looked
+	// for room.
+	looked atomic.Int64
+	mu     sync.Mutex
+	queue  queuer.Queue
 }
 
 // view is one configuration; it is not modified.
@@ -72,6 +75,7 @@
 		Place: place, Service: service,
 		Random: rand.Uint64, Tuning: chooser.DefaultTuning(), retry: retrier.New(),
 	}
+	d.record.every = recordEvery
 	d.view.Store(&view{policy: &resolver.Policy{}})
 	d.kinds.Store(&map[string]*chooser.Normal{})
 	return d
@@ -126,6 +130,9 @@
 			t.Hear(r, t.Outstanding(), at)
 		}
 	}
+	if d.waiting.Load() > 0 {
+		d.Expire(at)
+	}
 }
 
 // normal returns what is learnt about the latency of a kind.
@@ -150,10 +157,11 @@
 }
 
 // HedgeDelay returns how long after a first try's start a second one may be
-// asked for; ok is false when the kind has none.
+// asked for; ok is false when the kind has none. It is longer than the policy's
+// while so many answers take that long that they would use up the budget.
 func (d *Dispatcher) HedgeDelay(p *resolver.Policy) (delay time.Duration, ok bool) {
 	if d.Baseline != nil || !retrier.Hedged(p) {
 		return 0, false
 	}
-	return p.Hedge, true
+	return max(p.Hedge, d.normal(p.Kind).Slow()), true
 }
--- a/internal/process/dispatcher/lease.go
+++ b/internal/process/dispatcher/lease.go
@@ -46,7 +46,7 @@
 	dispatcher *Dispatcher
 	target     *chooser.Target
 	normal     *chooser.Normal
-	mark       int
+	mark       chooser.Mark
 	released   atomic.Bool
 }
 
@@ -59,7 +59,7 @@
 		r.Latency = now.Sub(l.Since)
 	}
 	d, t := l.dispatcher, l.target
-	t.Hear(r.Report, t.Outstanding(), now)
+	t.Hear(r.Report, t.Outstanding()-1, now)
 	d.learn(l, r, now)
 	t.End(l.mark)
 	if d.waiting.Load() > 0 {
@@ -70,19 +70,20 @@
 // learn updates what is known about the lease's target.
 func (d *Dispatcher) learn(l *Lease, r Result, now time.Time) {
 	t := l.target
+	latency := time.Duration(float64(r.Latency) / l.mark.Stretch)
 	p := d.view.Load().policy
 	changed := false
 	switch r.Kind {
 	case retrier.Done:
-		t.Observe(l.normal.Ratio(r.Latency), now)
-		l.normal.Observe(r.Latency)
+		t.Observe(l.normal.Ratio(latency), now)
+		l.normal.Observe(latency)
 		changed = t.Succeed()
 	case retrier.Failed, retrier.Lost, retrier.Unsent:
 		changed = t.Fail(p.Failures, p.Eject, now)
 	case retrier.Shed:
 		t.Shed(p.Slots, now)
 	case retrier.Cancelled:
-		t.ObserveAtLeast(l.normal.Ratio(r.Latency), now)
+		t.ObserveAtLeast(l.normal.Ratio(latency), now)
 	}
 	if r.State == StateDraining {
 		t.Close()
--- a/internal/process/dispatcher/offer.go
+++ b/internal/process/dispatcher/offer.go
@@ -95,7 +95,7 @@
 		case answer = <-ticket.Done:
 			return answer.Lease, answer.Refusal
 		case <-look.C:
-			d.Expire(present())
+			d.look(ticket, present())
 		case <-ctx.Done():
 			if d.Cancel(ticket, present()) {
 				return nil, &Refusal{Cause: queuer.Withdrawn}
@@ -111,6 +111,17 @@
 // and while no request is outstanding here none ends either.
 const lookPeriod = 5 * time.Millisecond
 
+// look looks for room unless another waiting request has just done so.
+func (d *Dispatcher) look(t *Ticket, now time.Time) {
+	last := d.looked.Load()
+	if now.Before(t.Until()) && now.UnixNano()-last < int64(lookPeriod) {
+		return
+	}
+	if d.looked.CompareAndSwap(last, now.UnixNano()) || !now.Before(t.Until()) {
+		d.Expire(now)
+	}
+}
+
 // Offer grants a request room at a target, queues it, or refuses it.
 func (d *Dispatcher) Offer(want Want, now time.Time) Answer {
 	if d.Baseline != nil {
@@ -122,10 +133,13 @@
 	n := d.normal(want.Policy.Kind)
 	due := want.due(now)
 	if !now.Add(n.Mean()).Before(due) {
-		return Answer{Refusal: &Refusal{Cause: queuer.Late, Retry: d.comeBack(soonestRetry)}}
+		return d.refuse(&want, queuer.Late, soonestRetry, now)
+	}
+	if len(want.Exclude) > 0 && d.excludesAll(want.Exclude) {
+		want.Exclude = nil
 	}
 	if d.waiting.Load() == 0 {
-		if lease := d.pick(&want, chooser.Query{}, now); lease != nil {
+		if lease := d.pick(&want, chooser.Query{Reserved: d.reserved(want.Policy)}, now); lease != nil {
 			d.granted(&want)
 			return Answer{Lease: lease}
 		}
@@ -133,6 +147,19 @@
 	return d.enqueue(want, n, due, now)
 }
 
+// excludesAll tells whether no usable target is left, in which case a request
+// may go again where it has been.
+func (d *Dispatcher) excludesAll(exclude []netip.AddrPort) bool {
+	set := d.view.Load().set
+	return set != nil && !set.Usable(exclude)
+}
+
+// reserved tells whether a kind is kept out of the room beyond the targets' slots,
+// which stays free for urgent requests.
+func (d *Dispatcher) reserved(p *resolver.Policy) bool {
+	return d.Tuning.Reserve && p.Priority != resolver.Urgent
+}
+
 // granted fills the budgets for a first try.
 func (d *Dispatcher) granted(want *Want) {
 	if want.Tries == 0 {
@@ -152,7 +179,7 @@
 	if !ok {
 		return nil
 	}
-	d.record.grant(set, c, want, now)
+	d.record.grant(set, c, q, want.Policy.Kind, now)
 	return &Lease{Target: c.Target.Address, Since: now, dispatcher: d, target: c.Target, mark: mark, normal: n}
 }
 
@@ -199,7 +226,7 @@
 // usable tells whether some target may have requests at all.
 func (d *Dispatcher) usable() bool {
 	set := d.view.Load().set
-	return set != nil && set.Usable()
+	return set != nil && set.Usable(nil)
 }
 
 // assumedRate returns the grants per second that the targets should reach.
@@ -212,7 +239,7 @@
 
 func (d *Dispatcher) refuse(want *Want, cause queuer.Cause, expected time.Duration, now time.Time) Answer {
 	r := &Refusal{Cause: cause, Retry: d.comeBack(expected)}
-	d.record.refuse(want, r, now)
+	d.record.refuse(want.Policy.Kind, r, now)
 	return Answer{Refusal: r}
 }
 
@@ -236,8 +263,9 @@
 			continue
 		}
 		var lease *Lease
-		entry := d.queue.Grant(now, grantDepth, func(e *queuer.Ticket) bool {
-			lease = d.pick(&e.Value.(*Ticket).want, chooser.Query{}, now)
+		entry := d.queue.Grant(now, grantDepth, func(e *queuer.Ticket, aged bool) bool {
+			want := &e.Value.(*Ticket).want
+			lease = d.pick(want, chooser.Query{Reserved: d.reserved(want.Policy) && !aged}, now)
 			return lease != nil
 		})
 		if entry == nil {
@@ -269,13 +297,14 @@
 	d.drain(now)
 }
 
-// Hedge grants a second try of a slow request into free room, within the budget.
-// want excludes the target of the first try.
+// Hedge grants a second try of a slow request, within the budget, into room that
+// no first try of its priority or above waits for. want excludes the target of
+// the first try.
 func (d *Dispatcher) Hedge(want Want, now time.Time) (*Lease, bool) {
-	if !d.retry.Hedge(want.Policy, d.waiting.Load() > 0) {
+	if !d.retry.Hedge(want.Policy, d.overloaded(want.Policy.Priority)) {
 		return nil, false
 	}
-	lease := d.pick(&want, chooser.Query{Free: true, Slowest: hedgeSlowest}, now)
+	lease := d.pick(&want, chooser.Query{Slowest: hedgeSlowest}, now)
 	if lease == nil {
 		d.retry.Unhedge()
 		return nil, false
@@ -283,6 +312,16 @@
 	return lease, true
 }
 
+// overloaded tells whether requests of the priority or above wait for room.
+func (d *Dispatcher) overloaded(p resolver.Priority) bool {
+	if d.waiting.Load() == 0 {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.queue.Ahead(p) > 0
+}
+
 // hedgeSlowest is the slowness up to which a target is worth a second try.
 const hedgeSlowest = 2
 
--- a/internal/process/watcher/schedule.go
+++ b/internal/process/watcher/schedule.go
@@ -60,6 +60,8 @@
 	News Result = iota
 	// Same: nothing newer than the document in force.
 	Same
+	// Passed: a document that peers passed on, or surpassed, during the call.
+	Passed
 	// Old: a document older than the one in force.
 	Old
 	// Refused: a document with faults.
@@ -185,6 +187,8 @@
 		if !s.watching && s.holding {
 			s.substitute = now.Add(substitution)
 		}
+	case Passed:
+		s.failures = 0
 	case Same:
 		if !view.Holding || (call == Watch && now.Sub(s.started) < hasty) {
 			s.failures++
--- a/internal/process/watcher/watcher.go
+++ b/internal/process/watcher/watcher.go
@@ -117,7 +117,7 @@
 		schedule: Schedule{Self: w.Self, Kind: k, Random: rand.Float64},
 		calls:    scope.Counter("calls"),
 	}
-	for i, name := range [results]string{"news", "same", "old", "refused", "failed"} {
+	for i, name := range [results]string{"news", "same", "passed", "old", "refused", "failed"} {
 		l.results[i] = scope.Tagged(map[string]string{"result": name}).Counter("answers")
 	}
 	return l
@@ -181,30 +181,37 @@
 // above the one in force even when a faulty one was refused, since operators
 // may mend a tree without raising its version.
 func (l *loop) call(c Call) (Result, error) {
-	after, wait := l.Stamp(l.kind).Version, time.Duration(0)
+	before, wait := l.Stamp(l.kind), time.Duration(0)
+	after := before.Version
 	switch c {
 	case Watch:
 		wait = Wait
 	case Reread:
 		after = max(after, 1) - 1
 	}
-	text, err := l.get(after, wait)
-	if err != nil {
+	var text []byte
+	var err error
+	if text, err = l.get(after, wait); err != nil {
 		return Failed, trace.Wrap(err)
 	}
 	if text == nil {
 		return Same, nil
 	}
-	return l.judge(text), nil
+	return l.judge(text, before), nil
 }
 
-func (l *loop) judge(text []byte) Result {
-	switch l.Offer(l.kind, text, time.Now()) {
-	case adopter.Accepted:
+// judge offers a document; before is what was in force when the call began.
+func (l *loop) judge(text []byte, before adopter.Stamp) Result {
+	v := l.Offer(l.kind, text, time.Now())
+	known := v == adopter.Known || v == adopter.Stale
+	switch {
+	case v == adopter.Accepted:
 		return News
-	case adopter.Known:
+	case known && l.Stamp(l.kind) != before:
+		return Passed
+	case v == adopter.Known:
 		return Same
-	case adopter.Stale:
+	case v == adopter.Stale:
 		return Old
 	}
 	return Refused
--- a/internal/request/chooser/ejection.go
+++ b/internal/request/chooser/ejection.go
@@ -7,7 +7,7 @@
 // ejected for the given time. It tells whether the target began to fail, after
 // which the current Set must be recounted.
 func (t *Target) Fail(limit int, eject time.Duration, now time.Time) bool {
-	t.Observe(max(t.tuning.Failed, t.decayed(t.ticks(now))), now)
+	t.Observe(t.tuning.Failed, now)
 	n := int(t.failures.Add(1))
 	if limit <= 0 || n < limit {
 		return false
--- a/internal/request/chooser/score.go
+++ b/internal/request/chooser/score.go
@@ -8,7 +8,7 @@
 	Outstanding int
 	// Others is the reported load of others, weighed by the report's age.
 	Others float64
-	// Slowness is the recent latency in normal latencies.
+	// Slowness is the expected latency at the idle target in normal latencies.
 	Slowness float64
 	// Age is the age of the oldest outstanding request in normal latencies.
 	Age float64
@@ -18,35 +18,23 @@
 	Score float64
 }
 
-// Explain returns the parts of a candidate's score.
-func (s *Set) Explain(c *Candidate, now time.Time) Parts { return s.score(c, s.ticks(now)) }
+// Explain returns the parts of a candidate's score, without mine of its
+// outstanding requests, and what keeps the request from it.
+func (s *Set) Explain(c *Candidate, q Query, mine int, now time.Time) (Parts, Bar) {
+	at := s.ticks(now)
+	return s.score(c, at, mine), s.bar(c, &q, at)
+}
 
-func (s *Set) score(c *Candidate, at int64) Parts {
+func (s *Set) score(c *Candidate, at int64, mine int) Parts {
 	t := c.Target
-	p := Parts{Outstanding: t.Outstanding(), Others: t.others(at), Slowness: t.decayed(at)}
-	if p.Outstanding > 0 {
-		p.Age = t.oldest(at)
-	}
+	p := Parts{Outstanding: t.Outstanding() - mine, Others: t.others(at)}
+	p.Slowness, p.Age = t.slowness(at)
 	if c.Foreign {
 		p.Distance = s.tuning.Foreign
 	}
 	slots := float64(s.Slots)
 	load := float64(p.Outstanding) + p.Others
 	wait := max(0, load+1-slots)/slots + s.tuning.Spread*min(1, load/slots)
-	p.Score = s.expected(p.Slowness, p.Age)*(1+wait) + p.Distance
+	p.Score = p.Slowness*(1+wait) + p.Distance
 	return p
 }
-
-// slowness returns the expected time of a request at an idle target.
-func (s *Set) slowness(t *Target, at int64) float64 {
-	return s.expected(t.decayed(at), t.oldest(at))
-}
-
-// expected joins the recent latency and the age of the oldest request, which
-// counts once it is older than any usual latency.
-func (s *Set) expected(slowness, age float64) float64 {
-	if s.tuning.Patience > 0 && age > s.tuning.Patience {
-		return max(slowness, age)
-	}
-	return slowness
-}
--- a/internal/request/chooser/target.go
+++ b/internal/request/chooser/target.go
@@ -32,10 +32,10 @@
 	// requests holds the outstanding requests whose age is known.
 	requests [tracked]request
 
-	// slowness holds the bits of the latency average relative to the normal
-	// latency, as of slownessAt. It is never below 1/maxSlowness.
-	slowness   atomic.Uint64
-	slownessAt atomic.Int64
+	// odds holds the bits of the odds that the target is slow, from the answers
+	// until oddsAt. They are never below leastOdds or above mostOdds.
+	odds   atomic.Uint64
+	oddsAt atomic.Int64
 
 	// external is the load that others had at the target when it last reported,
 	// reportedAt the time the report arrived.
@@ -61,14 +61,11 @@
 	normal atomic.Int64
 }
 
-// maxSlowness bounds the learnt slowness and its inverse.
-const maxSlowness = 64
-
 // NewTarget returns a target of which nothing is known.
 func NewTarget(address netip.AddrPort, start string, origin time.Time, tuning *Tuning) *Target {
 	t := &Target{Address: address, Start: start, origin: origin, tuning: tuning}
-	t.slowness.Store(math.Float64bits(1))
-	t.slownessAt.Store(never)
+	t.odds.Store(math.Float64bits(tuning.Prior))
+	t.oddsAt.Store(never)
 	t.reportedAt.Store(never)
 	t.ejectedUntil.Store(never)
 	return t
@@ -84,33 +81,44 @@
 func (t *Target) Close() { t.closed.Store(true) }
 
 // Begin takes room for one request below limit, of a kind with the given normal
-// latency. The mark is handed back to End.
-func (t *Target) Begin(limit int, normal time.Duration, now time.Time) (mark int, ok bool) {
+// latency at a target with free slots. The mark is handed back to End.
+func (t *Target) Begin(limit, slots int, normal time.Duration, now time.Time) (m Mark, ok bool) {
 	for {
 		n := t.outstanding.Load()
 		if int(n) >= limit {
-			return 0, false
+			return Mark{}, false
 		}
 		if t.outstanding.CompareAndSwap(n, n+1) {
+			m.Stretch = 1 + max(0, float64(int(n)+1-slots))/float64(slots)
 			break
 		}
 	}
 	at := t.ticks(now)
-	for i := range t.requests {
-		r := &t.requests[i]
+	for m.place = range t.requests {
+		r := &t.requests[m.place]
 		if r.begun.Load() == 0 && r.begun.CompareAndSwap(0, at) {
-			r.normal.Store(int64(normal))
-			return i, true
+			r.normal.Store(int64(float64(normal) * m.Stretch))
+			return m, true
 		}
 	}
-	return tracked, true
+	m.place = tracked
+	return m, true
+}
+
+// Mark is held by an outstanding request.
+type Mark struct {
+	// Stretch is by how much the requests already outstanding are expected to
+	// lengthen this one.
+	Stretch float64
+
+	place int
 }
 
 // End gives back the room of one request.
-func (t *Target) End(mark int) {
-	if mark < tracked {
-		t.requests[mark].normal.Store(0)
-		t.requests[mark].begun.Store(0)
+func (t *Target) End(m Mark) {
+	if m.place < tracked {
+		t.requests[m.place].normal.Store(0)
+		t.requests[m.place].begun.Store(0)
 	}
 	t.outstanding.Add(-1)
 }
@@ -121,11 +129,10 @@
 
 func sinceOrigin(origin, now time.Time) int64 { return max(1, int64(now.Sub(origin))) }
 
-// oldest returns the greatest age of an outstanding request, in normal
-// latencies of its kind.
-func (t *Target) oldest(now int64) float64 {
+// ages returns the greatest age and the sum of the ages of the outstanding
+// requests, in normal latencies of their kinds.
+func (t *Target) ages(now int64) (oldest, sum float64) {
 	left := t.outstanding.Load()
-	oldest := 0.0
 	for i := range t.requests {
 		if left <= 0 {
 			break
@@ -136,43 +143,78 @@
 		}
 		left--
 		if normal > 0 {
-			oldest = max(oldest, float64(now-begun)/float64(normal))
+			age := float64(now-begun) / float64(normal)
+			oldest = max(oldest, age)
+			sum += age
 		}
 	}
-	return oldest
+	return oldest, sum
 }
 
+// Bounds of the odds that a target is slow, and of what one answer may change.
+const (
+	leastOdds, mostOdds         = 0.001, 1000
+	leastEvidence, mostEvidence = 0.2, 20
+)
+
+// doubt is the probability of being slow, beyond that of an unknown target, from
+// which a target counts as slower than an unknown one.
+const doubt = 0.02
+
 // Observe learns from an answer that took ratio times the normal latency.
+//
+// A target is taken to be normal or slow by a factor. With exponential service
+// times the odds of slow change by exp(ratio*(1-1/factor))/factor.
 func (t *Target) Observe(ratio float64, now time.Time) {
-	at := t.ticks(now)
-	old := t.decayed(at)
-	gain := t.tuning.Gain
-	if ratio > old {
-		gain = t.tuning.Peak
-	}
-	t.store(old+gain*(bounded(ratio)-old), at)
+	evidence := math.Exp(min(ratio, 2*t.tuning.Factor)*(1-1/t.tuning.Factor)) / t.tuning.Factor
+	t.weigh(evidence, t.ticks(now))
 }
 
 // ObserveAtLeast learns from a request that was given up after ratio times the
-// normal latency; a short one says nothing.
+// normal latency.
 func (t *Target) ObserveAtLeast(ratio float64, now time.Time) {
-	if ratio > t.decayed(t.ticks(now)) {
-		t.Observe(ratio, now)
-	}
+	t.weigh(surviving(ratio*(1-1/t.tuning.Factor)), t.ticks(now))
+}
+
+func (t *Target) weigh(evidence float64, at int64) {
+	odds := t.recentOdds(at) * min(mostEvidence, max(leastEvidence, evidence))
+	t.odds.Store(math.Float64bits(min(mostOdds, max(leastOdds, odds))))
+	t.oddsAt.Store(at)
 }
 
-func (t *Target) store(slowness float64, at int64) {
-	t.slowness.Store(math.Float64bits(bounded(slowness)))
-	t.slownessAt.Store(at)
+// recentOdds returns the odds from the answers, less what time has taken away;
+// they tend to the prior, so that a target that was slow is tried again.
+func (t *Target) recentOdds(now int64) float64 {
+	odds := math.Float64frombits(t.odds.Load())
+	weight := fading(now-t.oddsAt.Load(), t.tuning.Forget)
+	p, prior := odds/(1+odds), t.tuning.Prior/(1+t.tuning.Prior)
+	p = prior + (p-prior)*weight
+	return p / (1 - p)
 }
 
-func bounded(ratio float64) float64 { return min(maxSlowness, max(1.0/maxSlowness, ratio)) }
+// surviving approximates exp for the evidence of requests that are outstanding.
+func surviving(x float64) float64 {
+	x = 1 + min(x, 16)/8
+	x *= x
+	x *= x
+	return x * x
+}
 
-// decayed returns the slowness with the share that time has taken away; it
-// tends to 1, so that a target that was slow is tried again.
-func (t *Target) decayed(now int64) float64 {
-	slowness := math.Float64frombits(t.slowness.Load())
-	return 1 + (slowness-1)*fading(now-t.slownessAt.Load(), t.tuning.Forget)
+// slowness returns the expected time of a request relative to a normal target,
+// and the age of the oldest request in normal latencies. A target known to be
+// normal is no better than an unknown one, so that each is tried again.
+func (t *Target) slowness(now int64) (slowness, oldest float64) {
+	odds := t.recentOdds(now)
+	oldest, sum := t.ages(now)
+	if t.tuning.Ages {
+		odds *= surviving(sum * (1 - 1/t.tuning.Factor))
+	}
+	unknown := t.tuning.Prior/(1+t.tuning.Prior) + doubt
+	slowness = 1 + (t.tuning.Factor-1)*max(0, odds/(1+odds)-unknown)
+	if t.tuning.Ages {
+		slowness = max(slowness, oldest/2)
+	}
+	return slowness, oldest
 }
 
 // fading falls from 1 to a half at the given half-life and to 0 beyond all.
--- a/internal/request/chooser/tuning.go
+++ b/internal/request/chooser/tuning.go
@@ -5,15 +5,14 @@
 // Tuning holds the constants of the score and turns single parts of it off, for
 // comparisons.
 type Tuning struct {
-	// Gain is the weight of one answer in a target's latency average.
-	Gain float64
-	// Peak is the weight of one answer that is slower than the average.
-	Peak float64
-	// Forget is the time after which an unused target's slowness counts half.
+	// Factor is how much slower than normal a slow target is taken to be.
+	Factor float64
+	// Prior is the odds that a target is slow of which nothing recent is known.
+	Prior float64
+	// Forget is the time after which what answers told counts half.
 	Forget time.Duration
-	// Patience is the age of an outstanding request, in normal latencies, from
-	// which it makes its target look slow; 0 turns the part off.
-	Patience float64
+	// Ages lets the ages of outstanding requests count.
+	Ages bool
 	// Stale is the age at which a report counts half; 0 turns reports off.
 	Stale time.Duration
 	// Spread is the weight of a target's use of its slots while some are free.
@@ -24,6 +23,8 @@
 	Failed float64
 	// Part is the share of targets that may be ejected at a time.
 	Part float64
+	// Reserve keeps the room beyond the slots for urgent requests.
+	Reserve bool
 	// Window bounds the candidates that one choice scores.
 	Window int
 }
@@ -31,15 +32,12 @@
 // DefaultTuning returns the constants in use.
 func DefaultTuning() Tuning {
 	return Tuning{
-		Gain:     0.2,
-		Peak:     0.3,
-		Forget:   60 * time.Millisecond,
-		Patience: 3,
-		Stale:    20 * time.Millisecond,
-		Spread:   0.1,
-		Foreign:  0.05,
-		Failed:   8,
-		Part:     0.5,
-		Window:   32,
+		Factor: 4, Prior: 0.05, Forget: 60 * time.Millisecond, Ages: true, Reserve: true,
+		Stale:   20 * time.Millisecond,
+		Spread:  0.1,
+		Foreign: 0.05,
+		Failed:  8,
+		Part:    0.5,
+		Window:  32,
 	}
 }
--- a/internal/request/queuer/limit.go
+++ b/internal/request/queuer/limit.go
@@ -8,7 +8,7 @@
 
 // Limit returns how many requests this instance may have outstanding at one
 // target. An owner with the given share (0 means the whole) may fill its part
-// of the target's slots and spare; any other instance may borrow one. Neither
+// of the target's slots and spare; any other instance may borrow slots. Neither
 // exceeds the instance's share of the target's connections, because each
 // outstanding request holds one.
 func Limit(p *resolver.Policy, owned bool, share float64) int {
--- a/internal/request/queuer/queue.go
+++ b/internal/request/queuer/queue.go
@@ -1,6 +1,8 @@
 package queuer
 
 import (
+	"cmp"
+	"container/heap"
 	"time"
 
 	"oriolecourse.example/oriolecourse/internal/version/resolver"
@@ -48,6 +50,8 @@
 
 	waiting    bool
 	prev, next *Ticket
+	// place is the ticket's index in the order of Until.
+	place int
 }
 
 // Waiting tells whether the ticket is in the queue.
@@ -55,13 +59,18 @@
 
 const (
 	priorities = int(resolver.Queued) + 1
-	// turn is the number of grants of which one goes to an aged ticket.
-	turn = 8
-	// agedAfter is the time after which a ticket of a lower priority has a claim
-	// to a grant of each turn.
-	agedAfter = 100 * time.Millisecond
+	// grantsPerTurn is the number of grants of which one goes to an aged ticket.
+	grantsPerTurn = 16
+	// longestAging bounds the time after which a ticket is aged.
+	longestAging = time.Second
 )
 
+// aged tells whether a ticket has waited half of its time, which gives it a
+// claim to one grant of each turn.
+func (t *Ticket) aged(now time.Time) bool {
+	return now.Sub(t.Arrived) >= min(longestAging, t.Until.Sub(t.Arrived)/2)
+}
+
 // Queue orders tickets by priority, and by arrival within a priority. One grant
 // of each turn goes to the longest waiting aged ticket of a lower priority, so
 // that none starves while grants go on.
@@ -69,20 +78,23 @@
 	// Capacity bounds the tickets.
 	Capacity int
 
-	lists  [priorities]list
-	length int
+	lists [priorities]list
+	// ends holds the waiting tickets, the one with the earliest Until first.
+	ends ends
 	// grants counts the grants since an aged ticket had its turn.
 	grants int
-	drain  Drain
+	// turn replaces the grants per turn unless it is 0.
+	turn  int
+	drain Drain
 }
 
 // Len returns the number of waiting tickets.
-func (q *Queue) Len() int { return q.length }
+func (q *Queue) Len() int { return len(q.ends) }
 
 // Push adds a ticket. When the queue is full, the youngest ticket of the lowest
 // priority below the new one is displaced; if there is none, ok is false.
 func (q *Queue) Push(t *Ticket) (displaced *Ticket, ok bool) {
-	if q.length >= q.Capacity {
+	if q.Len() >= q.Capacity {
 		if displaced = q.displaceable(t.Priority); displaced == nil {
 			return nil, false
 		}
@@ -90,7 +102,7 @@
 	}
 	q.lists[t.Priority].append(t)
 	t.waiting = true
-	q.length++
+	heap.Push(&q.ends, t)
 	return displaced, true
 }
 
@@ -110,7 +122,7 @@
 	}
 	q.lists[t.Priority].remove(t)
 	t.waiting = false
-	q.length--
+	heap.Remove(&q.ends, t.place)
 	return true
 }
 
@@ -125,28 +137,26 @@
 
 // Overdue removes and returns the next ticket whose time is over, or nil.
 func (q *Queue) Overdue(now time.Time) *Ticket {
-	for i := range q.lists {
-		for t := q.lists[i].first; t != nil; t = t.next {
-			if !now.Before(t.Until) {
-				q.Remove(t)
-				return t
-			}
-		}
+	if q.Len() == 0 || now.Before(q.ends[0].Until) {
+		return nil
 	}
-	return nil
+	t := q.ends[0]
+	q.Remove(t)
+	return t
 }
 
 // Grant offers the waiting tickets in order, up to depth of them, to try, which
-// tells whether it found room. The first with room is removed and returned.
-func (q *Queue) Grant(now time.Time, depth int, try func(*Ticket) bool) *Ticket {
-	if q.grants >= turn-1 {
-		if t := q.aged(now); t != nil && try(t) {
+// tells whether it found room and is told
+// whether it is an aged ticket's turn. The first with room is removed and returned.
+func (q *Queue) Grant(now time.Time, depth int, try func(t *Ticket, aged bool) bool) *Ticket {
+	if q.grants >= cmp.Or(q.turn, grantsPerTurn)-1 {
+		if t := q.oldest(now); t != nil && try(t, true) {
 			return q.granted(t, true, now)
 		}
 	}
 	for i := range q.lists {
 		for t := q.lists[i].first; t != nil && depth > 0; t = t.next {
-			if depth--; try(t) {
+			if depth--; try(t, false) {
 				return q.granted(t, false, now)
 			}
 		}
@@ -156,7 +166,7 @@
 
 func (q *Queue) granted(t *Ticket, aged bool, now time.Time) *Ticket {
 	q.Remove(t)
-	q.drain.Granted(now, q.length > 0)
+	q.drain.Granted(now, q.Len() > 0)
 	q.grants++
 	if aged {
 		q.grants = 0
@@ -164,56 +174,21 @@
 	return t
 }
 
-// aged returns the longest waiting aged ticket that is not next by priority.
-func (q *Queue) aged(now time.Time) *Ticket {
-	var oldest *Ticket
+// oldest returns the longest waiting aged ticket of a lower priority.
+func (q *Queue) oldest(now time.Time) *Ticket {
+	var found *Ticket
 	for i := 1; i < priorities; i++ {
 		t := q.lists[i].first
-		if t == nil || now.Sub(t.Arrived) < agedAfter {
+		if t == nil || !t.aged(now) {
 			continue
 		}
-		if oldest == nil || t.Arrived.Before(oldest.Arrived) {
-			oldest = t
+		if found == nil || t.Arrived.Before(found.Arrived) {
+			found = t
 		}
 	}
-	return oldest
+	return found
 }
 
 // Expected returns how long n tickets take to drain, given the rate that the
 // targets should reach as long as none was seen.
 func (q *Queue) Expected(n int, assumed float64) time.Duration { return q.drain.Expected(n, assumed) }
-
-// Forget is to be called when the queue runs empty other than by a grant.
-func (q *Queue) Forget() { q.drain.pause() }
-
-// list is a doubly linked list of tickets.
-type list struct {
-	first, last *Ticket
-	length      int
-}
-
-func (l *list) append(t *Ticket) {
-	t.prev, t.next = l.last, nil
-	if l.last != nil {
-		l.last.next = t
-	} else {
-		l.first = t
-	}
-	l.last = t
-	l.length++
-}
-
-func (l *list) remove(t *Ticket) {
-	if t.prev != nil {
-		t.prev.next = t.next
-	} else {
-		l.first = t.next
-	}
-	if t.next != nil {
-		t.next.prev = t.prev
-	} else {
-		l.last = t.prev
-	}
-	t.prev, t.next = nil, nil
-	l.length--
-}
