Say on the settings page what the code does

Read against the queue, the prober and the chooser: a wait of 0s is no limit, a tail weight of 0 turns probes off, the weights do not shape second tries, and a target's report does not replace slots.

--- a/internal/version/parser/records.go
+++ b/internal/version/parser/records.go
@@ -29,7 +29,7 @@
 	{
 		Name: "wait", Levels: allLevels, Default: "500ms", Least: "0s", Most: "5m", Example: "60ms", form: durationForm,
 		Title: "Longest time that a request may spend queued.",
-		Text:  "A request that waited longer is refused as not run. An inherited wait is cut to a shorter deadline.",
+		Text:  "A request that waited longer is refused as not run. 0s lets it wait until its deadline. An inherited wait is cut to a shorter deadline.",
 		field: number(func(p *resolver.Policy) *time.Duration { return &p.Wait }),
 	},
 	{
@@ -59,7 +59,7 @@
 	{
 		Name: "slots", Levels: serviceLevels, Default: "2", Least: "1", Most: "10000", Example: "3", form: countForm,
 		Title: "Number of requests that one target runs at a time.",
-		Text:  "A target's own report takes precedence while it is fresh.",
+		Text:  "The instances keep the requests outstanding at a target near this number.",
 		field: number(func(p *resolver.Policy) *int { return &p.Slots }),
 	},
 	{
@@ -137,7 +137,7 @@
 	{
 		Name: "body", Levels: allLevels, Default: "4MiB", Least: "1KiB", Most: "64MiB", Example: "256KiB", form: sizeForm,
 		Title: "Largest request or answer.",
-		Text:  "A larger request is refused as not run; a larger answer counts as a failure of the target.",
+		Text:  "A larger request is refused as not run; a larger answer counts as lost.",
 		field: number(func(p *resolver.Policy) *int64 { return &p.Body }),
 	},
 	{
@@ -155,13 +155,13 @@
 	{
 		Name: "tail", Levels: serviceLevels, Default: "5", Least: "0", Most: "10", Example: "8", form: countForm,
 		Title: "Weight of tail latency.",
-		Text:  "The higher it is against cost, the more of the probe budget and of the second tries is used to shorten the tail.",
+		Text:  "The higher it is against cost, the sooner and the longer a target is probed that traffic does not tell about. 0 turns probes off.",
 		field: number(func(p *resolver.Policy) *int { return &p.Tail }),
 	},
 	{
 		Name: "cost", Levels: serviceLevels, Default: "5", Least: "0", Most: "10", Example: "3", form: countForm,
 		Title: "Weight of the cost of measuring.",
-		Text:  "The higher it is against tail, the longer the system waits for traffic to tell before it probes.",
+		Text:  "The higher it is against tail, the longer the system waits for traffic to tell before it probes, and the sooner it gives up.",
 		field: number(func(p *resolver.Policy) *int { return &p.Cost }),
 	},
 }
