--- a/internal/process/dispatcher/ranking_test.go
+++ b/internal/process/dispatcher/ranking_test.go
@@ -108,10 +108,8 @@
 type variant struct {
 	homes, spare int
 	// split gives each home its own part of the targets.
-	split      bool
-	hedge      bool
-	hedgeAfter time.Duration
-	ratio      float64
+	split bool
+	hedge bool
 	// gossip is how often homes tell each other the load of their targets.
 	gossip time.Duration
 	tuning func(*chooser.Tuning)
@@ -147,11 +145,6 @@
 			Failures: 5, Eject: time.Second, Connections: 250, Fleet: 32,
 		}
 	}
-	if v.ratio > 0 {
-		for _, p := range f.policies {
-			p.Ratio, p.Hedge = v.ratio, v.hedgeAfter
-		}
-	}
 	for home := range v.homes {
 		d := New("himal", "lookup")
 		d.Zone, d.Random = zone(home), w.random.Uint64
