Ask later and again for second tries

Cause: second tries after 15 ms used up the budget of 3% in ordinary times, and one that was refused for want of room was never asked for again. Change: the learnt delay leaves half of a usual budget for times when targets are slow (98.5% of answers are faster, before 97%); HedgePause tells when to ask again.

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -158,10 +158,18 @@
 
 // HedgeDelay returns how long after a first try's start a second one may be
 // asked for; ok is false when the kind has none. It is longer than the policy's
-// while so many answers take that long that they would use up the budget.
+// while so many answers take that long that they would use up the budget. A
+// caller whose Hedge was refused asks again after HedgePause.
 func (d *Dispatcher) HedgeDelay(p *resolver.Policy) (delay time.Duration, ok bool) {
 	if d.Baseline != nil || !retrier.Hedged(p) {
 		return 0, false
 	}
 	return max(p.Hedge, d.normal(p.Kind).Slow()), true
 }
+
+// hedgePauses is the number of times in a delay that a second try is asked for.
+const hedgePauses = 8
+
+// HedgePause returns when a second try that was refused may be asked for again,
+// since room or budget may have come back.
+func HedgePause(delay time.Duration) time.Duration { return max(time.Millisecond, delay/hedgePauses) }
--- a/internal/process/dispatcher/ranking_test.go
+++ b/internal/process/dispatcher/ranking_test.go
@@ -286,7 +286,7 @@
 			send(l)
 			return
 		}
-		f.world.after(delay/8, attempt)
+		f.world.after(HedgePause(delay), attempt)
 	}
 	f.world.after(delay, attempt)
 }
--- a/internal/request/chooser/normal.go
+++ b/internal/request/chooser/normal.go
@@ -11,8 +11,9 @@
 	normalGain = 1.0 / 64
 	// normalCap bounds, in averages, what one answer may move the average by.
 	normalCap = 8
-	// quantile is the share of answers that are faster than Normal.Slow.
-	quantile = 0.97
+	// quantile is the share of answers that are faster than Normal.Slow; second
+	// tries after it leave half of a budget of 3% for times when targets are slow.
+	quantile = 0.985
 	// quantileStep is the relative change of the quantile by one answer.
 	quantileStep = 0.05
 )
--- a/internal/request/queuer/queue_test.go
+++ b/internal/request/queuer/queue_test.go
@@ -57,3 +57,18 @@
 		t.Errorf("at a grant every 2 ms, with a pause that does not count: %v", got)
 	}
 }
+
+// TestConnectionShare checks that the whole fleet stays within a target's
+// connections, also while owners and borrowers overlap.
+func TestConnectionShare(t *testing.T) {
+	for fleet := 1; fleet < 40; fleet++ {
+		for connections := 1; connections < 300; connections += 7 {
+			p := &resolver.Policy{Slots: 4, Spare: 3, Connections: connections, Fleet: fleet}
+			for _, owned := range []bool{true, false} {
+				if all := fleet * Limit(p, owned, 0); all > connections {
+					t.Fatalf("%d instances may open %d of %d connections", fleet, all, connections)
+				}
+			}
+		}
+	}
+}
