--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -59,6 +59,10 @@
 
 # start_platform starts platform and recorder and publishes a settings tree.
 start_platform() {
+  if send GET "$platform/admin/calls" >/dev/null 2>&1; then
+    echo "another fleet uses port $PORT; set PORT to a free range of 400" >&2
+    return 1
+  fi
   start platform "$BIN/standin" platform --address "$platform"
   start recorder "$BIN/standin" recorder --address "$recorder"
   await "$platform/admin/calls"
