Say once how faults are named and latencies recorded

The stand-ins of the platform and of a target had the same two routes and the same way to drop a connection, and two packages the same histogram.

--- a/internal/standin/auditor/audit.go
+++ b/internal/standin/auditor/audit.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"strings"
 	"time"
 
@@ -107,7 +106,7 @@
 // judge checks one request.
 func (v *Verdict) judge(r loader.Request, runs []run) {
 	v.Requests++
-	if r.Outcome == loader.Done && r.Status == http.StatusOK {
+	if r.Answered() {
 		v.Answered++
 	}
 	if r.Outcome == loader.Done && len(runs) == 0 {
--- a/internal/standin/auditor/table.go
+++ b/internal/standin/auditor/table.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"io"
-	"net/http"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -15,13 +14,6 @@
 	"oriolecourse.example/oriolecourse/internal/standin/recorder"
 )
 
-const (
-	// highestLatency is the highest value of a histogram in microseconds.
-	highestLatency = int64(time.Minute / time.Microsecond)
-	// significantFigures is the precision of a histogram.
-	significantFigures = 3
-)
-
 // Row is the summary of one kind.
 type Row struct {
 	Service, Kind string
@@ -61,9 +53,8 @@
 		r.Retried++
 	}
 	switch {
-	case request.Outcome == loader.Done && request.Status == http.StatusOK:
-		latency := min(request.Latency.Microseconds(), highestLatency)
-		_ = r.Latencies.RecordValue(latency)
+	case request.Answered():
+		request.Record(r.Latencies)
 	case request.Outcome == loader.Done:
 		r.Failed++
 	case request.Outcome == loader.Unknown:
@@ -80,8 +71,7 @@
 	row := func(service, kind string) *Row {
 		k := key{service, kind}
 		if rows[k] == nil {
-			h := hdrhistogram.New(1, highestLatency, significantFigures)
-			rows[k] = &Row{Service: service, Kind: kind, Latencies: h}
+			rows[k] = &Row{Service: service, Kind: kind, Latencies: loader.NewHistogram()}
 		}
 		return rows[k]
 	}
--- a/internal/standin/comparer/comparer.go
+++ b/internal/standin/comparer/comparer.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"net/http"
 	"slices"
 	"time"
 
@@ -12,13 +11,6 @@
 	"oriolecourse.example/oriolecourse/internal/standin/sampler"
 )
 
-const (
-	// highestLatency is the highest value of a histogram in microseconds.
-	highestLatency = int64(time.Minute / time.Microsecond)
-	// significantFigures is the precision of a histogram.
-	significantFigures = 3
-)
-
 // Comparison sums up the results of a bench.
 type Comparison struct {
 	// Stretch divides all printed times.
@@ -82,8 +74,7 @@
 			return k
 		}
 	}
-	h := hdrhistogram.New(1, highestLatency, significantFigures)
-	k := &kind{name: name, latencies: h}
+	k := &kind{name: name, latencies: loader.NewHistogram()}
 	g.kinds = append(g.kinds, k)
 	slices.SortFunc(g.kinds, func(a, b *kind) int { return cmp.Compare(a.name, b.name) })
 	return k
@@ -93,8 +84,8 @@
 func (k *kind) add(r loader.Request) {
 	k.count++
 	k.attempts += len(r.Attempts)
-	if r.Outcome == loader.Done && r.Status == http.StatusOK {
-		_ = k.latencies.RecordValue(min(r.Latency.Microseconds(), highestLatency))
+	if r.Answered() {
+		r.Record(k.latencies)
 		return
 	}
 	k.bad++
--- a/internal/standin/publisher/faults.go
+++ b/internal/standin/publisher/faults.go
@@ -1,20 +1,23 @@
 package publisher
 
 import (
-	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/labstack/echo/v4"
+
+	"oriolecourse.example/oriolecourse/internal/standin/listener"
 )
 
 // defaultFlap is half the period of a flapping platform.
 const defaultFlap = time.Second
 
+// defaultSlow is the delay of a slow platform.
+const defaultSlow = time.Second
+
 // faults holds the faults that are on. The zero value has none.
 type faults struct {
 	mu sync.Mutex
@@ -32,95 +35,81 @@
 	severed chan struct{}
 }
 
-// fault switches one named fault on or off; text is the parameter.
-type fault struct {
-	on  func(p *Publisher, text string) error
-	off func(p *Publisher)
-}
-
-// table holds the faults by name.
-var table = map[string]fault{
-	"down": {
-		on:  func(p *Publisher, _ string) error { p.faults.sever(func(f *faults) { f.down = true }); return nil },
-		off: func(p *Publisher) { p.faults.set(func(f *faults) { f.down = false }) },
-	},
-	"flap": {
-		on: func(p *Publisher, text string) error {
-			return withDuration(text, defaultFlap, func(d time.Duration) {
-				p.faults.sever(func(f *faults) { f.flap, f.since = d, time.Now() })
-			})
+// named returns the faults by name.
+func (p *Publisher) named() map[string]listener.Fault {
+	f := &p.faults
+	return map[string]listener.Fault{
+		"down": {
+			On:  func(string) error { f.sever(func() { f.down = true }); return nil },
+			Off: func() { f.set(func() { f.down = false }) },
 		},
-		off: func(p *Publisher) { p.faults.set(func(f *faults) { f.flap = 0 }) },
-	},
-	"slow": {
-		on: func(p *Publisher, text string) error {
-			return withDuration(text, time.Second, func(d time.Duration) {
-				p.faults.set(func(f *faults) { f.slow = d })
-			})
+		"flap": {
+			On: withDuration(defaultFlap, func(d time.Duration) {
+				f.sever(func() { f.flap, f.since = d, time.Now() })
+			}),
+			Off: func() { f.set(func() { f.flap = 0 }) },
 		},
-		off: func(p *Publisher) { p.faults.set(func(f *faults) { f.slow = 0 }) },
-	},
-	"garbage": {
-		on:  func(p *Publisher, _ string) error { p.faults.set(func(f *faults) { f.garbage = true }); return nil },
-		off: func(p *Publisher) { p.faults.set(func(f *faults) { f.garbage = false }) },
-	},
-	"stale":     {on: pinning((*Publisher).settingsDocument), off: unpinning((*Publisher).settingsDocument)},
-	"stalelist": {on: pinning((*Publisher).listDocument), off: unpinning((*Publisher).listDocument)},
+		"slow": {
+			On:  withDuration(defaultSlow, func(d time.Duration) { f.set(func() { f.slow = d }) }),
+			Off: func() { f.set(func() { f.slow = 0 }) },
+		},
+		"garbage": {
+			On:  func(string) error { f.set(func() { f.garbage = true }); return nil },
+			Off: func() { f.set(func() { f.garbage = false }) },
+		},
+		"stale":     stale(p.settings),
+		"stalelist": stale(p.list),
+	}
 }
 
-func (p *Publisher) settingsDocument() *document { return p.settings }
-
-func (p *Publisher) listDocument() *document { return p.list }
+// stale returns the fault that serves an old revision of a document: the named
+// one, or the one before the newest.
+func stale(d *document) listener.Fault {
+	return listener.Fault{
+		On: func(text string) error {
+			if text == "" {
+				d.pin(d.previous())
+				return nil
+			}
+			number, err := strconv.ParseUint(text, 10, 64)
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			d.pin(number)
+			return nil
+		},
+		Off: func() { d.pin(0) },
+	}
+}
 
-// pinning returns the switch that serves an old revision: the named one, or the
-// one before the newest.
-func pinning(choose func(*Publisher) *document) func(*Publisher, string) error {
-	return func(p *Publisher, text string) error {
-		d := choose(p)
+// withDuration hands on the parameter or its default.
+func withDuration(standard time.Duration, use func(time.Duration)) func(string) error {
+	return func(text string) error {
 		if text == "" {
-			d.pin(d.previous())
+			use(standard)
 			return nil
 		}
-		number, err := strconv.ParseUint(text, 10, 64)
+		d, err := time.ParseDuration(text)
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		d.pin(number)
-		return nil
-	}
-}
-
-// unpinning returns the switch that serves the newest revision again.
-func unpinning(choose func(*Publisher) *document) func(*Publisher) {
-	return func(p *Publisher) { choose(p).pin(0) }
-}
-
-// withDuration hands on the parameter or its default.
-func withDuration(text string, standard time.Duration, use func(time.Duration)) error {
-	if text == "" {
-		use(standard)
+		use(d)
 		return nil
 	}
-	d, err := time.ParseDuration(text)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	use(d)
-	return nil
 }
 
 // set changes the faults.
-func (f *faults) set(edit func(*faults)) {
+func (f *faults) set(edit func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	edit(f)
+	edit()
 }
 
 // sever changes the faults and cuts the connections of all waiting watches.
-func (f *faults) sever(edit func(*faults)) {
+func (f *faults) sever(edit func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	edit(f)
+	edit()
 	if f.severed != nil {
 		close(f.severed)
 		f.severed = nil
@@ -147,7 +136,7 @@
 // disturb lets the faults act on a call. It reports whether the call is over.
 func (f *faults) disturb(c echo.Context, now time.Time) (bool, error) {
 	if f.unreachable(now) {
-		return true, dropConnection(c)
+		return true, listener.Drop(c)
 	}
 	f.mu.Lock()
 	slow, garbage := f.slow, f.garbage
@@ -162,38 +151,3 @@
 	}
 	return false, nil
 }
-
-// dropConnection closes the caller's connection without an answer.
-func dropConnection(c echo.Context) error {
-	conn, _, err := c.Response().Hijack()
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	return trace.Wrap(conn.Close())
-}
-
-// putFault switches a fault on; the body is its parameter.
-func (p *Publisher) putFault(c echo.Context) error {
-	f, found := table[c.Param("name")]
-	if !found {
-		return echo.NewHTTPError(http.StatusNotFound, "unknown fault")
-	}
-	text, err := io.ReadAll(c.Request().Body)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	if err := f.on(p, strings.TrimSpace(string(text))); err != nil {
-		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
-	}
-	return c.NoContent(http.StatusNoContent)
-}
-
-// deleteFault switches a fault off.
-func (p *Publisher) deleteFault(c echo.Context) error {
-	f, found := table[c.Param("name")]
-	if !found {
-		return echo.NewHTTPError(http.StatusNotFound, "unknown fault")
-	}
-	f.off(p)
-	return c.NoContent(http.StatusNoContent)
-}
--- a/internal/standin/publisher/publisher.go
+++ b/internal/standin/publisher/publisher.go
@@ -60,8 +60,7 @@
 	e.DELETE("/admin/targets/:address", p.deleteTarget)
 	e.POST("/admin/instances", p.postInstance)
 	e.DELETE("/admin/instances/:address", p.deleteInstance)
-	e.PUT("/fault/:name", p.putFault)
-	e.DELETE("/fault/:name", p.deleteFault)
+	listener.Faults(e, p.named())
 	return e
 }
 
@@ -94,7 +93,7 @@
 		case <-timer.C:
 			return c.NoContent(http.StatusNotModified)
 		case <-p.faults.cut():
-			return dropConnection(c)
+			return listener.Drop(c)
 		case <-c.Request().Context().Done():
 			return nil
 		}
--- a/internal/standin/worker/faults.go
+++ b/internal/standin/worker/faults.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +11,7 @@
 	"github.com/gravitational/trace"
 	"github.com/labstack/echo/v4"
 
+	"oriolecourse.example/oriolecourse/internal/standin/listener"
 	"oriolecourse.example/oriolecourse/internal/standin/recorder"
 )
 
@@ -270,7 +270,7 @@
 		return w.refuse(c, shedding)
 	}
 	w.exit(crashCode)
-	return dropConnection(c)
+	return listener.Drop(c)
 }
 
 // fail answers with an error at once. The run is recorded, since a caller
@@ -288,36 +288,24 @@
 	return c.NoContent(http.StatusInternalServerError)
 }
 
-// putFault switches a fault on; the body holds its parameters.
-func (w *Worker) putFault(c echo.Context) error {
-	if c.Param("name") == "crash" {
-		w.exit(crashCode)
-		return nil
-	}
-	f, found := table[c.Param("name")]
-	if !found {
-		return echo.NewHTTPError(http.StatusNotFound, "unknown fault")
-	}
-	text, err := io.ReadAll(c.Request().Body)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	w.faults.mu.Lock()
-	defer w.faults.mu.Unlock()
-	if err := f.on(&w.faults, strings.Split(strings.TrimSpace(string(text)), ","), time.Now()); err != nil {
-		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+// named returns the faults by name.
+func (w *Worker) named() map[string]listener.Fault {
+	faults := map[string]listener.Fault{
+		"crash": {On: func(string) error { w.exit(crashCode); return nil }, Off: func() {}},
 	}
-	return c.NoContent(http.StatusNoContent)
-}
-
-// deleteFault switches a fault off.
-func (w *Worker) deleteFault(c echo.Context) error {
-	f, found := table[c.Param("name")]
-	if !found {
-		return echo.NewHTTPError(http.StatusNotFound, "unknown fault")
+	for name, f := range table {
+		faults[name] = listener.Fault{
+			On: func(text string) error {
+				w.faults.mu.Lock()
+				defer w.faults.mu.Unlock()
+				return f.on(&w.faults, strings.Split(text, ","), time.Now())
+			},
+			Off: func() {
+				w.faults.mu.Lock()
+				defer w.faults.mu.Unlock()
+				f.off(&w.faults)
+			},
+		}
 	}
-	w.faults.mu.Lock()
-	defer w.faults.mu.Unlock()
-	f.off(&w.faults)
-	return c.NoContent(http.StatusNoContent)
+	return faults
 }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -104,8 +104,7 @@
 	e := listener.Router()
 	w.book.Register(e)
 	e.GET("/health", w.health)
-	e.PUT("/fault/:name", w.putFault)
-	e.DELETE("/fault/:name", w.deleteFault)
+	listener.Faults(e, w.named())
 	e.Any("/:kind", w.work)
 	e.Any("/:kind/*", w.work)
 	return e
@@ -310,14 +309,5 @@
 		return trace.Wrap(err)
 	}
 	c.Response().Flush()
-	return dropConnection(c)
-}
-
-// dropConnection closes the connection under a request.
-func dropConnection(c echo.Context) error {
-	conn, _, err := c.Response().Hijack()
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	return trace.Wrap(conn.Close())
+	return listener.Drop(c)
 }
