--- a/internal/process/watcher/watcher_test.go
+++ b/internal/process/watcher/watcher_test.go
@@ -7,7 +7,6 @@
 	"net/netip"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -65,20 +64,17 @@
 	}
 }
 
-// rig is a watcher with its adopter; verdicts are recorded.
+// rig is a watcher of a fleet of one, with an adopter of settings.
 type rig struct {
 	*Watcher
-	verdicts chan adopter.Verdict
-	scope    tally.TestScope
+	scope tally.TestScope
 }
 
 func newRig(t *testing.T, url string) *rig {
-	settings := adopter.NewSettings()
-	g := &rig{verdicts: make(chan adopter.Verdict, 1000), scope: tally.NewTestScope("", nil)}
-	self := member(0)
-	g.Watcher = &Watcher{
+	settings, scope, self := adopter.NewSettings(), tally.NewTestScope("", nil), member(0)
+	g := &rig{scope: scope, Watcher: &Watcher{
 		Platform: url,
-		Scope:    g.scope,
+		Scope:    scope,
 		Self:     self,
 		Members:  func() []netip.AddrPort { return []netip.AddrPort{self} },
 		Stamp: func(k Kind) adopter.Stamp {
@@ -87,61 +83,49 @@
 			}
 			return settings.Stamp()
 		},
-		Offer: func(_ Kind, text []byte, now time.Time) adopter.Verdict {
-			v := settings.Offer(text, 0, 0, now)
-			g.verdicts <- v
-			return v
-		},
-	}
+		Offer: func(_ Kind, text []byte, now time.Time) adopter.Verdict { return settings.Offer(text, 0, 0, now) },
+	}}
 	g.Prepare()
-	var ended sync.WaitGroup
-	ended.Go(func() { _ = g.Run() })
+	go func() { _ = g.Run() }()
 	t.Cleanup(func() {
 		g.Stop()
 		<-g.Done()
-		ended.Wait()
 	})
 	return g
 }
 
-// version waits until a version is in force.
-func (g *rig) version(t *testing.T, want uint64) {
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
 	for range 6000 {
-		if g.Stamp(Settings).Version == want {
+		if holds() {
 			return
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
-	t.Fatalf("version %d in force, want %d", g.Stamp(Settings).Version, want)
+	t.Fatalf("not seen: %s", what)
 }
 
-func (g *rig) verdict(t *testing.T, want adopter.Verdict) {
+// version waits until a version is in force.
+func (g *rig) version(t *testing.T, want uint64) {
 	t.Helper()
-	deadline := time.After(30 * time.Second)
-	for {
-		select {
-		case v := <-g.verdicts:
-			if v == want {
-				return
-			}
-		case <-deadline:
-			t.Fatalf("no verdict %s", want)
-		}
+	eventually(t, fmt.Sprintf("version %d in force", want), func() bool { return g.Stamp(Settings).Version == want })
+}
+
+// answers counts the answers about settings that had a result.
+func (g *rig) answers(result string) int64 {
+	c := g.scope.Snapshot().Counters()["platform.answers+document=settings,result="+result]
+	if c == nil {
+		return 0
 	}
+	return c.Value()
 }
 
 // more waits until the platform was called n times more.
 func (p *platform) more(t *testing.T, n int64) {
 	t.Helper()
 	goal := p.calls.Load() + n
-	for range 6000 {
-		if p.calls.Load() >= goal {
-			return
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-	t.Fatalf("%d calls, want %d", p.calls.Load(), goal)
+	eventually(t, fmt.Sprintf("%d calls", goal), func() bool { return p.calls.Load() >= goal })
 }
 
 // Each fault of the platform leaves the version in force, and the watcher
@@ -200,7 +184,8 @@
 		next := text(tree(version))
 		p.answer.Store(&next)
 		if i%2 == 0 {
-			g.verdict(t, adopter.Stale)
+			seen := g.answers("old")
+			eventually(t, "an old answer", func() bool { return g.answers("old") > seen })
 			continue
 		}
 		g.version(t, uint64(version))
@@ -245,9 +230,8 @@
 	if after := <-watching; after != "4" {
 		t.Errorf("watch after %s", after)
 	}
-	counters := g.scope.Snapshot().Counters()
-	if c := counters["platform.answers+document=settings,result=passed"]; c == nil || c.Value() != 1 {
-		t.Errorf("not counted as passed on: %v", counters)
+	if n := g.answers("passed"); n != 1 {
+		t.Errorf("%d answers counted as passed on", n)
 	}
 }
 
