--- /dev/null
+++ b/internal/process/commander/operations_test.go
@@ -0,0 +1,38 @@
+package commander
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// logLine matches the message of a log line in the code.
+var logLine = regexp.MustCompile(`Log\("msg", "([^"]+)"`)
+
+func TestOperationsPageKnowsFlagsAndLogLines(t *testing.T) {
+	text, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	require.NoError(t, err)
+	page := string(text)
+	for _, o := range serveOptions {
+		require.Contains(t, page, "`--"+o.name+"`", "the page names the flag")
+	}
+	lines := 0
+	err = filepath.WalkDir("..", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		code, err := os.ReadFile(path)
+		for _, found := range logLine.FindAllStringSubmatch(string(code), -1) {
+			lines++
+			require.Contains(t, page, "`"+found[1]+"`", "the page explains the line logged in %s", path)
+		}
+		return err
+	})
+	require.NoError(t, err)
+	require.Positive(t, lines)
+}
--- a/internal/process/watcher/watcher.go
+++ b/internal/process/watcher/watcher.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/gravitational/trace"
 	"github.com/uber-go/tally/v4"
 
@@ -170,11 +171,11 @@
 	}
 	if lost {
 		l.lost.Add(1)
-		_ = l.Logger.Log("level", "warn", "event", "platform lost", "document", l.kind, "cause", err)
+		_ = level.Warn(l.Logger).Log("msg", "platform lost", "document", l.kind, "cause", err)
 		return
 	}
 	l.lost.Add(-1)
-	_ = l.Logger.Log("level", "info", "event", "platform back", "document", l.kind)
+	_ = level.Info(l.Logger).Log("msg", "platform back", "document", l.kind)
 }
 
 // call makes one call and offers what it brings. A watch asks for versions
