Tell peers of a lost platform, so that others become its readers

The watcher knew what to do with the word of peers; nobody gave it. Also the life of a rumor stood twice, with different values: the age of a leaving target's rumor came out as 9 min at the second hop. Change: a rumor for outages, at most one each 10 s and instance; ages come from the topic's own life.

--- a/internal/process/assembler/answers.go
+++ b/internal/process/assembler/answers.go
@@ -62,7 +62,6 @@
 			Service:  p.Service,
 			Instance: i.options.Peer,
 			Rate:     own,
-			Left:     rumorLife,
 		}, now)
 	}
 	return v.scaler.Active(own+i.loads.Rate(p.Place, p.Service, now), p.Rate, now)
--- a/internal/process/assembler/instance.go
+++ b/internal/process/assembler/instance.go
@@ -60,6 +60,8 @@
 	ready, leaving atomic.Bool
 	// cuts holds the peers with which the exchange is forbidden.
 	cuts sync.Map
+	// outages holds, by peer, until when an instance counts as without the platform.
+	outages sync.Map
 	// homes names the service of each target in use.
 	homes atomic.Pointer[map[netip.AddrPort]tracker.Service]
 	// changed wakes the refresher; it has room for one signal.
--- a/internal/process/assembler/platform.go
+++ b/internal/process/assembler/platform.go
@@ -2,10 +2,12 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"oriolecourse.example/oriolecourse/internal/process/adopter"
 	"oriolecourse.example/oriolecourse/internal/process/detector"
+	"oriolecourse.example/oriolecourse/internal/process/relayer"
 	"oriolecourse.example/oriolecourse/internal/process/watcher"
 )
 
@@ -14,6 +16,7 @@
 		Platform: i.options.Platform,
 		Self:     i.options.Peer,
 		Members:  i.alive,
+		Able:     i.able,
 		Stamp:    i.stamp,
 		Offer:    i.read,
 		Logger:   i.options.Logger,
@@ -34,6 +37,39 @@
 	return found
 }
 
+// able returns those members that have not told that they lost the platform.
+func (i *Instance) able() []netip.AddrPort {
+	now := time.Now()
+	return slices.DeleteFunc(i.alive(), func(peer netip.AddrPort) bool {
+		until, told := i.outages.Load(peer)
+		return told && now.Before(until.(time.Time))
+	})
+}
+
+// outagePeriod is the time between two words of an outage that lasts.
+const outagePeriod = 10 * time.Second
+
+// tellOutage tells peers while the platform is out of reach, so that others
+// become readers, until done is closed.
+func (i *Instance) tellOutage(w *watcher.Watcher, done <-chan struct{}) error {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	var told time.Time
+	for {
+		select {
+		case <-done:
+			return nil
+		case now := <-t.C:
+			if !w.Lost() || now.Sub(told) < outagePeriod {
+				continue
+			}
+			told = now
+			i.outages.Store(i.options.Peer, now.Add(relayer.Outage.Life()))
+			i.relayer.Spread(relayer.Rumor{Topic: relayer.Outage, Instance: i.options.Peer}, now)
+		}
+	}
+}
+
 // stamp returns the stamp of the document in force.
 func (i *Instance) stamp(k watcher.Kind) adopter.Stamp {
 	if k == watcher.Settings {
--- a/internal/process/assembler/rumors.go
+++ b/internal/process/assembler/rumors.go
@@ -10,20 +10,12 @@
 	"oriolecourse.example/oriolecourse/internal/process/tracker"
 )
 
-// The lives of rumors; the age of a rumor is told from what is left.
-const (
-	rumorLife = time.Minute
-	// leavingLife is longer, so that an instance that was paused for minutes still
-	// hears which runs of targets have left.
-	leavingLife = 10 * time.Minute
-)
-
 // hear takes in what a peer told.
 func (i *Instance) hear(r relayer.Rumor, now time.Time) {
 	switch r.Topic {
 	case relayer.Draining:
 		key := tracker.Key{Place: r.Place, Service: r.Service, Address: r.Target}
-		if i.tracker.Hear(tracker.Rumour{Key: key, Start: r.Start, Age: max(leavingLife-r.Left, 0)}, now) {
+		if i.tracker.Hear(tracker.Rumour{Key: key, Start: r.Start, Age: r.Age()}, now) {
 			i.wake()
 		}
 	case relayer.Loss, relayer.Cleared:
@@ -32,10 +24,12 @@
 			Fingerprint: quarantiner.Fingerprint(r.Fingerprint),
 			Run:         quarantiner.Run{Address: r.Target, Start: r.Start},
 			Cleared:     r.Topic == relayer.Cleared,
-			Age:         max(rumorLife-r.Left, 0),
+			Age:         r.Age(),
 		}, now)
 	case relayer.Load:
 		i.loads.Tell(r.Place, r.Service, r.Instance, r.Rate, now.Add(r.Left))
+	case relayer.Outage:
+		i.outages.Store(r.Instance, now.Add(r.Left))
 	}
 }
 
@@ -52,7 +46,6 @@
 		Target:      u.Run.Address,
 		Start:       u.Run.Start,
 		Fingerprint: uint64(u.Fingerprint),
-		Left:        rumorLife,
 	}, time.Now())
 }
 
@@ -67,7 +60,7 @@
 			Service: u.Key.Service,
 			Target:  u.Key.Address,
 			Start:   u.Start,
-			Left:    leavingLife - u.Age,
+			Left:    relayer.Draining.Life() - u.Age,
 		}, time.Now())
 	}
 }
--- a/internal/process/assembler/run.go
+++ b/internal/process/assembler/run.go
@@ -19,6 +19,7 @@
 	i.addLoop(&g, i.probe)
 	w := i.newWatcher()
 	g.Add(w.Run, func(error) { w.Stop() })
+	i.addLoop(&g, func(done <-chan struct{}) error { return i.tellOutage(w, done) })
 	g.Add(i.relayer.Run, func(error) { i.relayer.Stop() })
 	if err := i.addAdmin(&g, i.options.Admin, i.admin().Router()); err != nil {
 		return trace.Wrap(err)
--- a/internal/process/relayer/rumor.go
+++ b/internal/process/relayer/rumor.go
@@ -23,6 +23,8 @@
 	// Cleared tells that a request that was lost with a target has been answered
 	// whole: Place, Service and Fingerprint are set.
 	Cleared
+	// Outage tells that an instance cannot reach the platform: Instance is set.
+	Outage
 	topicCount
 )
 
@@ -34,15 +36,28 @@
 	// urgent rumors are pushed at each hop; others only travel on pings.
 	urgent bool
 }{
-	Draining: {"draining", time.Minute, true},
-	Loss:     {"loss", 10 * time.Minute, true},
+	// An instance that was paused for minutes has to hear which runs have left.
+	Draining: {"draining", 10 * time.Minute, true},
+	Loss:     {"loss", time.Minute, true},
 	Load:     {"load", LoadLife, false},
 	Cleared:  {"cleared", time.Minute, true},
+	Outage:   {"outage", 30 * time.Second, false},
 }
 
 // LoadLife is how long a Load rumor holds; it is told anew before that.
 const LoadLife = 90 * time.Second
 
+// Life returns how long a rumor of the topic is passed on.
+func (t Topic) Life() time.Duration {
+	if t >= topicCount {
+		return 0
+	}
+	return topics[t].life
+}
+
+// Age returns the time since the rumor was first told.
+func (r *Rumor) Age() time.Duration { return max(r.Topic.Life()-r.Left, 0) }
+
 // String returns the name of the topic.
 func (t Topic) String() string {
 	if t >= topicCount {
