Let a probe that succeeds end the wait of an ejected target

Cause: the probes of ejected targets brought nothing: a target came back when its ejection ended, whatever it answered. Now a probe that is answered with 200 puts the target on trial, where it gets one request at a time and is ejected again if that fails.

--- a/internal/process/assembler/probes.go
+++ b/internal/process/assembler/probes.go
@@ -21,6 +21,9 @@
 	healthPath = "/health"
 	// healthLimit is the largest answer of a health endpoint in bytes.
 	healthLimit = 4096
+	// doubtMemory is how long a doubt is remembered after traffic has ended it, so
+	// that the probes of a target that only answers probes grow rare.
+	doubtMemory = 30 * time.Second
 	// headerProbe marks a probe.
 	headerProbe = "Oriole-Probe"
 )
@@ -32,6 +35,8 @@
 	since time.Time
 	// same counts the probes since then.
 	same int
+	// until is when the doubt is forgotten.
+	until time.Time
 }
 
 // probes is the state of the loop that probes targets; one goroutine owns it.
@@ -92,15 +97,18 @@
 		b, usable := believed[t.Address]
 		key := tracker.Key{Place: k.Place, Service: k.Service, Address: t.Address}
 		reason := reason(t, b, usable, now)
+		d := p.doubts[key]
 		if reason == prober.Known {
-			delete(p.doubts, key)
+			if now.After(d.until) {
+				delete(p.doubts, key)
+			}
 			continue
 		}
-		d := p.doubts[key]
 		if d.reason != reason {
 			d = doubt{reason: reason, since: now}
-			p.doubts[key] = d
 		}
+		d.until = now.Add(doubtMemory)
+		p.doubts[key] = d
 		found = append(found, prober.Candidate{Target: t.Address, Reason: reason, Heard: t.Heard, Bad: d.since, Same: d.same})
 	}
 	return found
@@ -148,5 +156,8 @@
 	}
 	now := time.Now()
 	i.evidence(k, a.Header, sent, now)
+	if a.Status == http.StatusOK {
+		s.dispatcher.Try(k.Address, now)
+	}
 	s.dispatcher.Hear(k.Address, dispatcher.ParseReport(a.Header.Get(handler.HeaderReport)), now)
 }
--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -121,18 +121,28 @@
 // Hear learns a target's load from elsewhere than an answer, as from a probe or
 // a peer. at is when the target stated it.
 func (d *Dispatcher) Hear(address netip.AddrPort, r chooser.Report, at time.Time) {
+	d.each(address, func(t *chooser.Target) { t.Hear(r, t.Outstanding(), at) })
+	if d.waiting.Load() > 0 {
+		d.Expire(at)
+	}
+}
+
+// Try ends the wait of an ejected target that has answered a probe.
+func (d *Dispatcher) Try(address netip.AddrPort, now time.Time) {
+	d.each(address, func(t *chooser.Target) { t.Try(now) })
+}
+
+// each calls the function with the target at an address, if it is known.
+func (d *Dispatcher) each(address netip.AddrPort, call func(*chooser.Target)) {
 	set := d.view.Load().set
 	if set == nil {
 		return
 	}
 	for i := range set.Candidates {
 		if t := set.Candidates[i].Target; t.Address == address {
-			t.Hear(r, t.Outstanding(), at)
+			call(t)
 		}
 	}
-	if d.waiting.Load() > 0 {
-		d.Expire(at)
-	}
 }
 
 // normal returns what is learnt about the latency of a kind.
--- a/internal/process/prober/need.go
+++ b/internal/process/prober/need.go
@@ -50,7 +50,7 @@
 }
 
 // maxDoublings bounds the back-off of probes that change nothing.
-const maxDoublings = 5
+const maxDoublings = 2
 
 // Weights are the settings that shape the need.
 type Weights struct {
--- a/internal/request/chooser/ejection.go
+++ b/internal/request/chooser/ejection.go
@@ -26,6 +26,16 @@
 	return t.ejectedUntil.Swap(never) != never
 }
 
+// Try ends the wait of an ejected target that has answered a probe: it gets one
+// request on trial at once, and stays ejected if that fails.
+func (t *Target) Try(now time.Time) {
+	at := t.ticks(now)
+	end := t.ejectedUntil.Load()
+	if end != never && end > at {
+		t.ejectedUntil.CompareAndSwap(end, at)
+	}
+}
+
 // failing tells whether the target has failed often enough to be ejected and
 // has not succeeded since.
 func (t *Target) failing() bool {
