--- a/internal/process/executor/session_test.go
+++ b/internal/process/executor/session_test.go
@@ -3,15 +3,11 @@
 import (
 	"fmt"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/sebdah/goldie/v2"
-
 	"oriolecourse.example/oriolecourse/internal/standin/narrator"
 )
 
@@ -114,23 +110,8 @@
 }
 
 func TestSessions(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.session")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no sessions", err)
-	}
-	for _, file := range files {
-		name := strings.TrimSuffix(filepath.Base(file), ".session")
-		t.Run(name, func(t *testing.T) {
-			text, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
-			}
-			s := &session{table: New(here, 1, sessionLimits, narrator.Epoch), records: make(map[string]*Record)}
-			got, err := narrator.Replay(string(text), s.do)
-			if err != nil {
-				t.Fatal(err)
-			}
-			goldie.New(t, goldie.WithFixtureDir("testdata"), goldie.WithNameSuffix(".session")).Assert(t, name, []byte(got))
-		})
-	}
+	narrator.Check(t, func() func(narrator.Event) string {
+		s := &session{table: New(here, 1, sessionLimits, narrator.Epoch), records: make(map[string]*Record)}
+		return s.do
+	})
 }
--- a/internal/process/prober/need_test.go
+++ b/internal/process/prober/need_test.go
@@ -3,14 +3,10 @@
 import (
 	"fmt"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/sebdah/goldie/v2"
-
 	"oriolecourse.example/oriolecourse/internal/standin/narrator"
 )
 
@@ -83,25 +79,10 @@
 }
 
 func TestSessions(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.session")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no sessions", err)
-	}
-	for _, file := range files {
-		name := strings.TrimSuffix(filepath.Base(file), ".session")
-		t.Run(name, func(t *testing.T) {
-			text, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
-			}
-			s := &session{claims: make(map[string]*Claim)}
-			got, err := narrator.Replay(string(text), s.do)
-			if err != nil {
-				t.Fatal(err)
-			}
-			goldie.New(t, goldie.WithFixtureDir("testdata"), goldie.WithNameSuffix(".session")).Assert(t, name, []byte(got))
-		})
-	}
+	narrator.Check(t, func() func(narrator.Event) string {
+		s := &session{claims: make(map[string]*Claim)}
+		return s.do
+	})
 }
 
 // outage returns the probes that one ejected target gets over ten minutes, and
--- a/internal/process/quarantiner/session_test.go
+++ b/internal/process/quarantiner/session_test.go
@@ -3,15 +3,11 @@
 import (
 	"fmt"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/sebdah/goldie/v2"
-
 	"oriolecourse.example/oriolecourse/internal/standin/narrator"
 )
 
@@ -69,22 +65,5 @@
 }
 
 func TestSessions(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.session")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no sessions", err)
-	}
-	for _, file := range files {
-		name := strings.TrimSuffix(filepath.Base(file), ".session")
-		t.Run(name, func(t *testing.T) {
-			text, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
-			}
-			got, err := narrator.Replay(string(text), replay(New(sessionLimits)))
-			if err != nil {
-				t.Fatal(err)
-			}
-			goldie.New(t, goldie.WithFixtureDir("testdata"), goldie.WithNameSuffix(".session")).Assert(t, name, []byte(got))
-		})
-	}
+	narrator.Check(t, func() func(narrator.Event) string { return replay(New(sessionLimits)) })
 }
--- a/internal/standin/narrator/narrator.go
+++ b/internal/standin/narrator/narrator.go
@@ -2,13 +2,25 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
+	"testing"
 	"time"
+
+	"github.com/sebdah/goldie/v2"
 )
 
 // Epoch is the time at which each session starts.
 var Epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+const (
+	// directory holds the sessions of a package.
+	directory = "testdata"
+	// suffix ends the name of a session's file.
+	suffix = ".session"
+)
+
 // resultMark separates an event from its result.
 const resultMark = " => "
 
@@ -27,9 +39,33 @@
 	return e.Args[i]
 }
 
-// Replay runs the events of a session and returns the session with the results
+// Check replays every session of the package, each with a new function that runs
+// its events, and compares the results with those that are written.
+func Check(t *testing.T, begin func() func(Event) string) {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(directory, "*"+suffix))
+	if err != nil || len(files) == 0 {
+		t.Fatal("no sessions", err)
+	}
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), suffix)
+		t.Run(name, func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := replay(string(text), begin())
+			if err != nil {
+				t.Fatal(err)
+			}
+			goldie.New(t, goldie.WithFixtureDir(directory), goldie.WithNameSuffix(suffix)).Assert(t, name, []byte(got))
+		})
+	}
+}
+
+// replay runs the events of a session and returns the session with the results
 // that the function gave. An event without a result gets no mark.
-func Replay(session string, do func(Event) string) (string, error) {
+func replay(session string, do func(Event) string) (string, error) {
 	var out strings.Builder
 	for i, line := range strings.Split(strings.TrimRight(session, "\n"), "\n") {
 		text, _, _ := strings.Cut(line, resultMark)
