--- a/internal/process/assembler/accounts.go
+++ b/internal/process/assembler/accounts.go
@@ -35,9 +35,13 @@
 	}
 }
 
-// settle adds a request and its outcome to the costs of its kind.
+// settle adds a request and its outcome to the costs of its kind, unless it was
+// passed on and its executor has done so.
 func (i *Instance) settle(r *handler.Request, o *handler.Outcome) {
 	i.counters.count(o)
+	if r.Passed {
+		return
+	}
 	c := i.accounts.Counters(key(r.Policy))
 	c.Requests.Add(1)
 	c.In.Add(int64(len(r.Body)))
--- a/internal/process/assembler/peers.go
+++ b/internal/process/assembler/peers.go
@@ -122,6 +122,7 @@
 		Body:        r.Body,
 	})
 	if err == nil {
+		r.Passed = true
 		return handler.Read(handler.Message{Status: a.Status, Header: a.Header, Body: a.Body})
 	}
 	var failure *relayer.ForwardError
--- a/internal/request/handler/request.go
+++ b/internal/request/handler/request.go
@@ -46,6 +46,9 @@
 	Deadline time.Time
 	// Permit is asked right before the request is first sent; nil permits it.
 	Permit func(now time.Time) bool
+	// Passed means that the executor has answered for this instance and has the
+	// request in its accounts.
+	Passed bool
 
 	// fingerprint is the digest of the content.
 	fingerprint quarantiner.Fingerprint
