Hand the outcomes of an executor that leaves to others

Cause: an executor that was replaced took its records with it; a caller that sent an operation again afterwards was told unknown and final, though the outcome was known. Ruled out: waiting longer; callers may come back after minutes. Sharing records as they are made; that costs a message for each operation and is a store. Change: at its end a sealed table is handed to two others of the place, and a rumor tells who they are. An id of its epochs without a record never ran, which stays true. An attempt is now permitted by the table before each sending, not the first only.

--- a/internal/process/assembler/instance.go
+++ b/internal/process/assembler/instance.go
@@ -62,6 +62,9 @@
 	cuts sync.Map
 	// outages holds, by peer, until when an instance counts as without the platform.
 	outages sync.Map
+	// legacies answers for executors that have ended, heirs holds who else does.
+	legacies *executor.Legacies
+	heirs    sync.Map
 	// homes names the service of each target in use.
 	homes atomic.Pointer[map[netip.AddrPort]tracker.Service]
 	// changed wakes the refresher; it has room for one signal.
@@ -82,6 +85,7 @@
 		accounts:    accountant.New(o.Address, o.Zone, now),
 		counters:    newCounters(o.Scope),
 		loads:       steerer.NewLoads(),
+		legacies:    executor.NewLegacies(),
 		guard:       waker.New(now),
 		changed:     make(chan struct{}, 1),
 	}
@@ -95,7 +99,7 @@
 	}
 	i.sender = &sender.Sender{DialTimeout: dialTimeout, Opened: i.opened}
 	i.handler = i.newHandler()
-	i.operator = &handler.Operator{Table: i.table, Handler: i.handler, Forward: i.forward}
+	i.operator = &handler.Operator{Table: i.table, Legacies: i.legacies, Handler: i.handler, Forward: i.forward}
 	i.settings.Reject = func(r adopter.Rejection) { i.rejected("settings", r) }
 	i.list.Reject = func(r adopter.Rejection) { i.rejected("list", r) }
 	i.settings.Change = func(_ *resolver.Snapshot, p adopter.Stamp, now time.Time) { i.adopted("settings", p, now) }
--- a/internal/process/assembler/life.go
+++ b/internal/process/assembler/life.go
@@ -148,6 +148,7 @@
 	defer cancel()
 	err := l.server.Shutdown(ctx)
 	l.drained(ctx)
+	i.bequeath()
 	i.relayer.Farewell(time.Now())
 	_ = level.Info(i.options.Logger).Log("msg", "left", "took", time.Since(begun))
 	return trace.Wrap(err)
--- a/internal/process/assembler/peers.go
+++ b/internal/process/assembler/peers.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -74,8 +73,11 @@
 
 // execute runs an operation that another instance has passed on.
 func (i *Instance) execute(ctx context.Context, o relayer.Operation) relayer.Outcome {
-	if o.Path == pathToken {
+	switch o.Path {
+	case pathToken:
 		return i.token(time.Now())
+	case pathLegacy:
+		return i.inherit(o, time.Now())
 	}
 	ctx = propagator.Extract(ctx, propagation.HeaderCarrier(o.Header))
 	ctx, span := i.options.Tracer.Start(ctx, "execute", oteltrace.WithSpanKind(oteltrace.SpanKindServer))
@@ -112,26 +114,37 @@
 	defer cancel()
 	ctx, span := i.options.Tracer.Start(ctx, "forward", oteltrace.WithSpanKind(oteltrace.SpanKindClient))
 	defer span.End()
-	header := r.Header.Clone()
-	propagator.Inject(ctx, propagation.HeaderCarrier(header))
-	a, err := i.relayer.Forward(ctx, to.Peer, relayer.Operation{
-		Incarnation: to.Incarnation,
-		Method:      r.Method,
-		Path:        handler.RequestPrefix + r.Policy.Service + r.Path,
-		Header:      header,
-		Body:        r.Body,
-	})
+	o := operation(to.Incarnation, r)
+	propagator.Inject(ctx, propagation.HeaderCarrier(o.Header))
+	a, err := i.relayer.Forward(ctx, to.Peer, o)
 	if err == nil {
 		r.Passed = true
 		return handler.Read(handler.Message{Status: a.Status, Header: a.Header, Body: a.Body})
 	}
 	var failure *relayer.ForwardError
-	if errors.As(err, &failure) && failure.Failure == relayer.Replaced {
+	if !errors.As(err, &failure) || failure.Failure == relayer.Unanswered {
+		return handler.Doubt(handler.CauseUnreached, 0)
+	}
+	if o, ok := i.askHeir(ctx, to, r); ok {
+		return o
+	}
+	if failure.Failure == relayer.Replaced {
 		return handler.Doubt(handler.CauseGone, 0)
 	}
 	return handler.Doubt(handler.CauseUnreached, 0)
 }
 
+// operation makes the message that passes a request on to an incarnation.
+func operation(incarnation uint64, r *handler.Request) relayer.Operation {
+	return relayer.Operation{
+		Incarnation: incarnation,
+		Method:      r.Method,
+		Path:        handler.RequestPrefix + r.Policy.Service + r.Path,
+		Header:      r.Header.Clone(),
+		Body:        r.Body,
+	}
+}
+
 // peers returns the members that the instance knows, itself first.
 func (i *Instance) peers() []server.Peer {
 	found := []server.Peer{peer(i.relayer.Self())}
@@ -152,7 +165,7 @@
 		Peer:        m.Instance.Peer.String(),
 		Place:       m.Instance.Place,
 		Zone:        m.Instance.Zone,
-		Incarnation: strconv.FormatUint(m.Incarnation, 16),
+		Incarnation: incarnationText(m.Incarnation),
 		State:       m.State.String(),
 		Leaving:     m.Leaving,
 	}
--- a/internal/process/assembler/rumors.go
+++ b/internal/process/assembler/rumors.go
@@ -28,6 +28,8 @@
 		}, now)
 	case relayer.Load:
 		i.loads.Tell(r.Place, r.Service, r.Instance, r.Rate, now.Add(r.Left))
+	case relayer.Heir:
+		i.hearHeir(r, now)
 	case relayer.Outage:
 		i.outages.Store(r.Instance, now.Add(r.Left))
 	}
--- /dev/null
+++ b/internal/process/executor/legacy_test.go
@@ -0,0 +1,67 @@
+package executor
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// TestLegacy lets an executor end and asks the one that answers for it.
+func TestLegacy(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limits := Limits{Epoch: time.Minute, Keep: time.Second, Forget: time.Minute, Capacity: 10, Epochs: 4, Bytes: 10000}
+	table := New(netip.MustParseAddrPort("10.0.0.1:1"), 7, limits, now)
+	token, ok := table.Token(now)
+	require.True(t, ok)
+	id := func(part string) Operation { return Operation{Token: token, Part: part} }
+	settle := func(part string, o Outcome) {
+		v := table.Begin(id(part), 1, now.Add(time.Second), now)
+		require.Equal(t, Run, v.Action)
+		table.Finish(v.Record, o, now)
+	}
+	settle("done", Outcome{Result: Done, Status: 201, Body: []byte("crate 7")})
+	settle("unrun", Outcome{Result: Unrun, Reason: "busy"})
+	settle("large", Outcome{Result: Done, Body: make([]byte, 900)})
+	require.Equal(t, Run, table.Begin(id("running"), 1, now.Add(time.Second), now).Action)
+
+	_, ok = table.Export(500)
+	require.False(t, ok, "an executor that may still run operations owes them itself")
+	table.Close(now)
+	exported, ok := table.Export(500)
+	require.True(t, ok)
+	text, err := msgpack.Marshal(&exported)
+	require.NoError(t, err)
+	var legacy Legacy
+	require.NoError(t, msgpack.Unmarshal(text, &legacy))
+
+	heir := NewLegacies()
+	require.Equal(t, Foreign, heir.Find(id("done"), 1, now).Action)
+	require.True(t, heir.Take(legacy, now.Add(time.Minute), now))
+	tests := []struct {
+		part        string
+		fingerprint uint64
+		action      Action
+		outcome     Outcome
+	}{
+		{"done", 1, Wait, Outcome{Result: Done, Status: 201, Body: []byte("crate 7")}},
+		{"done", 2, Mismatch, Outcome{}},
+		{"unrun", 1, Wait, Outcome{Result: Unrun, Reason: "busy"}},
+		{"large", 1, Wait, Outcome{Result: Done, Dropped: true}},
+		{"running", 1, Wait, Outcome{Result: Unknown}},
+		{"never seen", 1, Refused, Outcome{}},
+	}
+	for _, c := range tests {
+		v := heir.Find(id(c.part), c.fingerprint, now)
+		require.Equal(t, c.action, v.Action, c.part)
+		if c.action == Wait {
+			require.Equal(t, c.outcome, *v.Record.Outcome(), c.part)
+		}
+	}
+	old := id("done")
+	old.Token.Epoch = 9
+	require.Equal(t, Forgotten, heir.Find(old, 1, now).Action)
+	require.Equal(t, Foreign, heir.Find(id("done"), 1, now.Add(time.Minute)).Action, "a legacy ends")
+}
--- a/internal/process/relayer/rumor.go
+++ b/internal/process/relayer/rumor.go
@@ -25,6 +25,9 @@
 	Cleared
 	// Outage tells that an instance cannot reach the platform: Instance is set.
 	Outage
+	// Heir tells who answers for an incarnation that has ended by itself: Instance
+	// and Fingerprint name that incarnation, Target and Start the one that answers.
+	Heir
 	topicCount
 )
 
@@ -42,6 +45,7 @@
 	Load:     {"load", LoadLife, false},
 	Cleared:  {"cleared", time.Minute, true},
 	Outage:   {"outage", 30 * time.Second, false},
+	Heir:     {"heir", 10 * time.Minute, true},
 }
 
 // LoadLife is how long a Load rumor holds; it is told anew before that.
--- a/internal/request/handler/handler_test.go
+++ b/internal/request/handler/handler_test.go
@@ -195,9 +195,10 @@
 func newOperator(f *fake, p *resolver.Policy) *Operator {
 	limits := executor.Limits{Epoch: time.Minute, Keep: time.Second, Forget: time.Minute, Capacity: 100, Epochs: 4, Bytes: 1 << 20}
 	return &Operator{
-		Table:   executor.New(netip.MustParseAddrPort("127.0.0.1:9"), 7, limits, time.Now()),
-		Handler: newHandler(f, p, 3),
-		Forward: func(context.Context, executor.Token, *Request) *Outcome { return Doubt(CauseUnreached, 0) },
+		Table:    executor.New(netip.MustParseAddrPort("127.0.0.1:9"), 7, limits, time.Now()),
+		Legacies: executor.NewLegacies(),
+		Handler:  newHandler(f, p, 3),
+		Forward:  func(context.Context, executor.Token, *Request) *Outcome { return Doubt(CauseUnreached, 0) },
 	}
 }
 
--- a/internal/request/handler/operation.go
+++ b/internal/request/handler/operation.go
@@ -12,6 +12,8 @@
 type Operator struct {
 	// Table decides what becomes of an operation that names this incarnation.
 	Table *executor.Table
+	// Legacies answers for incarnations that have ended.
+	Legacies *executor.Legacies
 	// Handler carries an operation that this incarnation runs.
 	Handler *Handler
 	// Forward passes an operation to its executor and returns the executor's answer.
@@ -24,7 +26,13 @@
 	if err != nil {
 		return p.fresh(Refuse(CauseOperation, 0))
 	}
-	v := p.Table.Begin(id, uint64(r.sum()), r.Deadline, p.Handler.Clock())
+	now := p.Handler.Clock()
+	v := p.Table.Begin(id, uint64(r.sum()), r.Deadline, now)
+	if v.Action == executor.Foreign || v.Action == executor.Replaced {
+		if owed := p.Legacies.Find(id, uint64(r.sum()), now); owed.Action != executor.Foreign {
+			v = owed
+		}
+	}
 	switch v.Action {
 	case executor.Run:
 		return p.run(ctx, r, v.Record)
@@ -47,6 +55,7 @@
 // run carries the operation and keeps its outcome for resends.
 func (p *Operator) run(ctx context.Context, r *Request, record *executor.Record) *Outcome {
 	r.Permit = func(now time.Time) bool { return p.Table.Send(record, now) }
+	r.Disown = func() { p.Table.Disown(record) }
 	o := p.Handler.Handle(ctx, r)
 	p.Table.Finish(record, kept(o), p.Handler.Clock())
 	return p.told(record)
--- a/internal/request/handler/race.go
+++ b/internal/request/handler/race.go
@@ -114,7 +114,7 @@
 	if !now.Before(c.request.Deadline) || c.handler.Old(now) {
 		return false
 	}
-	return c.made > 0 || c.request.Permit == nil || c.request.Permit(now)
+	return c.request.Permit == nil || c.request.Permit(now)
 }
 
 // refused turns a refusal of the dispatcher into an outcome.
@@ -264,6 +264,8 @@
 		c.last = a.Answer
 	case a.Effect == sender.Lost:
 		c.lost = true
+	case c.request.Disown != nil:
+		c.request.Disown()
 	}
 	if c.running > 0 {
 		return nil
--- a/internal/request/handler/request.go
+++ b/internal/request/handler/request.go
@@ -44,11 +44,13 @@
 	// Arrived is when the request came in, Deadline when its answer is due.
 	Arrived  time.Time
 	Deadline time.Time
-	// Permit is asked right before the request is first sent; nil permits it.
+	// Permit is asked right before the request is sent; nil permits it.
 	Permit func(now time.Time) bool
 	// Passed means that the executor has answered for this instance and has the
 	// request in its accounts.
 	Passed bool
+	// Disown tells that a permitted sending did not run; nil is allowed.
+	Disown func()
 
 	// fingerprint is the digest of the content.
 	fingerprint quarantiner.Fingerprint
