--- a/internal/process/assembler/legacies.go
+++ b/internal/process/assembler/legacies.go
@@ -122,5 +122,6 @@
 	if err != nil {
 		return nil, false
 	}
+	r.Passed = true
 	return handler.Read(handler.Message{Status: a.Status, Header: a.Header, Body: a.Body}), true
 }
--- a/internal/process/tracker/target.go
+++ b/internal/process/tracker/target.go
@@ -20,6 +20,15 @@
 
 var stateNames = map[State]string{Ready: "ready", Warming: "warming", Draining: "draining"}
 
+// MarshalText writes the name of the state.
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText reads what MarshalText has written.
+func (s *State) UnmarshalText(text []byte) error {
+	*s = ParseState(string(text))
+	return nil
+}
+
 // String returns the name of the state.
 func (s State) String() string { return stateNames[s] }
 
--- a/internal/request/queuer/queue.go
+++ b/internal/request/queuer/queue.go
@@ -5,6 +5,8 @@
 	"container/heap"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"oriolecourse.example/oriolecourse/internal/version/resolver"
 )
 
@@ -32,6 +34,20 @@
 	Overdue: "waited too long", Late: "deadline cannot be met", Withdrawn: "withdrawn by the caller",
 }
 
+// MarshalText writes the cause in words.
+func (c Cause) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
+
+// UnmarshalText reads what MarshalText has written.
+func (c *Cause) UnmarshalText(text []byte) error {
+	for cause, name := range causeNames {
+		if name == string(text) {
+			*c = cause
+			return nil
+		}
+	}
+	return trace.BadParameter("%q is no cause of a refusal", text)
+}
+
 // String returns the cause in words.
 func (c Cause) String() string { return causeNames[c] }
 
