--- /dev/null
+++ b/internal/process/commander/proofs_test.go
@@ -0,0 +1,33 @@
+package commander
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestProofsPageNamesTests holds the page of proofs to the tests that there are.
+func TestProofsPageNamesTests(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/PROOFS.md")
+	require.NoError(t, err)
+	var code strings.Builder
+	err = filepath.WalkDir("../..", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		code.Write(text)
+		return err
+	})
+	require.NoError(t, err)
+	named := regexp.MustCompile("`((?:Test|Fuzz)[A-Za-z]+)`").FindAllStringSubmatch(string(page), -1)
+	require.NotEmpty(t, named)
+	for _, found := range named {
+		require.Contains(t, code.String(), "func "+found[1]+"(", "the page names a test that is not there")
+	}
+}
