--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build test lint fmt demo bench
+.PHONY: build test lint fmt demo bench measure
 
 # Compiles both programs into bin/.
 build:
@@ -25,3 +25,7 @@
 # Policies side by side under load; QUICK=1 for a short round.
 bench: build
 	scripts/bench.sh
+
+# Times and costs of a fleet; PARTS names the parts, all by default.
+measure: build
+	scripts/measure.sh $(PARTS)
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -83,13 +83,13 @@
     \"peer\":\"$(peer_address "$1")\",\"place\":\"$2\",\"zone\":\"$(zone "$1")\",\"state\":\"$3\"}"
 }
 
-# start_instance N PLACE starts and lists instance N; the first one is the seed
-# of the others.
+# start_instance N PLACE [URL] starts and lists instance N, which reads the
+# platform or the one at the URL; the first one is the seed of the others.
 start_instance() {
   list_instance "$1" "$2" live
   start "instance$1" "$BIN/oriolecourse" serve --address "$(instance_address "$1")" \
     --peer "$(peer_address "$1")" --admin "$(admin_address "$1")" --place "$2" \
-    --zone "$(zone "$1")" --platform "http://$platform" --keys "$KEY" \
+    --zone "$(zone "$1")" --platform "${3:-http://$platform}" --keys "$KEY" \
     --seeds "$(peer_address 0),$(peer_address 1)"
 }
 
