--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -36,7 +36,7 @@
 end_all() {
   local name
   for name in "${!PIDS[@]}"; do
-    disown "${PIDS[$name]}"
+    disown "${PIDS[$name]}" 2>/dev/null || true
     kill -s KILL "${PIDS[$name]}" 2>/dev/null || true
   done
   wait 2>/dev/null
