--- a/internal/process/steerer/plan.go
+++ b/internal/process/steerer/plan.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 
@@ -122,21 +123,55 @@
 		return compareScores(bin{b.hash, b.weight}, bin{a.hash, a.weight}, item)
 	})
 	ordered := append(make([]home, 0, len(members)), members[first])
-	used := map[string]int{members[first].member.Instance.Zone: 1}
-	for len(rest) > 0 {
-		next := 0
-		for i, h := range rest {
-			if used[h.member.Instance.Zone] < used[rest[next].member.Instance.Zone] {
-				next = i
-			}
+	zones := byZone(rest)
+	for _, z := range zones {
+		if z.name == members[first].member.Instance.Zone {
+			z.used++
 		}
-		used[rest[next].member.Instance.Zone]++
-		ordered = append(ordered, rest[next])
-		rest = slices.Delete(rest, next, next+1)
+	}
+	for len(ordered) < len(members) {
+		z := slices.MinFunc(zones, compareTurns)
+		ordered = append(ordered, rest[z.waiting[0]])
+		z.waiting = z.waiting[1:]
+		z.used++
 	}
 	return ordered
 }
 
+// turn is a zone whose members are put in order.
+type turn struct {
+	name string
+	used int
+	// waiting holds the positions of members not in order yet, the best first.
+	waiting []int
+}
+
+// byZone returns the zones of the members.
+func byZone(members []home) []*turn {
+	var zones []*turn
+	for i, m := range members {
+		n := slices.IndexFunc(zones, func(z *turn) bool { return z.name == m.member.Instance.Zone })
+		if n < 0 {
+			n = len(zones)
+			zones = append(zones, &turn{name: m.member.Instance.Zone})
+		}
+		zones[n].waiting = append(zones[n].waiting, i)
+	}
+	return zones
+}
+
+// compareTurns puts the zone first that was used least and has members left; of
+// equal ones that of the best member.
+func compareTurns(a, b *turn) int {
+	switch {
+	case len(a.waiting) == 0 || len(b.waiting) == 0:
+		return cmp.Compare(len(b.waiting), len(a.waiting))
+	case a.used != b.used:
+		return cmp.Compare(a.used, b.used)
+	}
+	return cmp.Compare(a.waiting[0], b.waiting[0])
+}
+
 // Homes returns the peers of the active homes of a service, the first one first.
 // It is empty for an unknown service.
 func (p *Plan) Homes(place, service string) []netip.AddrPort {
