--- a/internal/process/dispatcher/cost_test.go
+++ b/internal/process/dispatcher/cost_test.go
@@ -41,3 +41,22 @@
 		})
 	}
 }
+
+// BenchmarkFullQueue measures a request that waits and withdraws while others
+// wait.
+func BenchmarkFullQueue(b *testing.B) {
+	for _, waiting := range []int{8, 512} {
+		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
+			m := newMachine()
+			m.policy.Queue = waiting + 1
+			m.configure(12)
+			for m.pushed < waiting {
+				m.arrive(0)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				m.d.Cancel(m.d.Offer(m.want(0), m.now).Ticket, m.now)
+			}
+		})
+	}
+}
--- a/internal/process/dispatcher/invariant_test.go
+++ b/internal/process/dispatcher/invariant_test.go
@@ -377,3 +377,30 @@
 		t.Errorf("%d requests wait", s.Waiting)
 	}
 }
+
+// grantedWhenAllFail tells whether a request still gets a target after all
+// targets have failed, with the part of them that may be ejected.
+func grantedWhenAllFail(part float64) bool {
+	m := newMachine()
+	m.d.Tuning.Part = part
+	m.configure(6)
+	for range 100 {
+		l := m.d.Offer(m.want(0), m.now).Lease
+		if l == nil {
+			return false
+		}
+		m.now = m.now.Add(100 * time.Microsecond)
+		l.Release(Result{Kind: retrier.Failed}, m.now)
+	}
+	return true
+}
+
+// TestFleetWideFailureEjectsNobody fails when any number may be ejected.
+func TestFleetWideFailureEjectsNobody(t *testing.T) {
+	if !grantedWhenAllFail(New("", "").Tuning.Part) {
+		t.Error("no target is left when all fail")
+	}
+	if grantedWhenAllFail(1) {
+		t.Error("the check accepts that all targets are ejected")
+	}
+}
