Time the looks of waiting requests by the monotonic clock

Cause: the last look was kept in wall time, so that after a step back of the clock no waiting request would have looked for room until the clock had caught up or its wait was over.

--- a/internal/process/dispatcher/dispatcher.go
+++ b/internal/process/dispatcher/dispatcher.go
@@ -56,8 +56,8 @@
 	// waiting counts the queued tickets; it is written with mu held and read
 	// without.
 	waiting atomic.Int32
-	// looked is the Unix time in nanoseconds when a waiting request last looked
-	// for room.
+	// looked is the time in nanoseconds from origin to the last look for room of a
+	// waiting request.
 	looked atomic.Int64
 	mu     sync.Mutex
 	queue  queuer.Queue
--- a/internal/process/dispatcher/offer.go
+++ b/internal/process/dispatcher/offer.go
@@ -113,13 +113,11 @@
 
 // look looks for room unless another waiting request has just done so.
 func (d *Dispatcher) look(t *Ticket, now time.Time) {
-	last := d.looked.Load()
-	if now.Before(t.Until()) && now.UnixNano()-last < int64(lookPeriod) {
+	last, at := d.looked.Load(), int64(now.Sub(d.origin))
+	if now.Before(t.Until()) && (at-last < int64(lookPeriod) || !d.looked.CompareAndSwap(last, at)) {
 		return
 	}
-	if d.looked.CompareAndSwap(last, now.UnixNano()) || !now.Before(t.Until()) {
-		d.Expire(now)
-	}
+	d.Expire(now)
 }
 
 // Offer grants a request room at a target, queues it, or refuses it.
