--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -124,7 +124,7 @@
   INSTANCES=3
   start_fleet ours
   local round
-  for round in 1 2 3 4; do
+  for ((round = 1; round <= 2 * ROUNDS; round++)); do
     "$BIN/standin" load --direct --instances "$(target_address 0)" --mix 'parts/lookup rate=50 size=300' \
       --duration 3s --seed "$round" --label 'scene=unloaded,policy=direct' --out "$OUT/path-direct-$round.json"
     "$BIN/standin" load --instances "$(instances 3)" --mix 'parts/lookup rate=50 size=300' \
