--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -51,6 +51,7 @@
 # come and go at every target, about one a second.
 start_user() {
   "$BIN/standin" stretch --factor "$STRETCH" <"examples/$1.yaml" >"$OUT/$1.yaml"
+  "$BIN/oriolecourse" check "$OUT/$1.yaml" >"$OUT/$1-check.txt"
   STANDIN_BRIEF=true start_platform "$OUT/$1.yaml"
   local i
   for ((i = 0; i < TARGETS; i++)); do
