--- a/internal/standin/starter/fleet.go
+++ b/internal/standin/starter/fleet.go
@@ -239,13 +239,6 @@
 	f.must(t, http.MethodPut, other.Admin, "/v1/cuts/"+one.Entry.Peer.String(), "")
 }
 
-// Heal allows the exchange between two instances again.
-func (f *Fleet) Heal(t testing.TB, one, other *Instance) {
-	t.Helper()
-	f.must(t, http.MethodDelete, one.Admin, "/v1/cuts/"+other.Entry.Peer.String(), "")
-	f.must(t, http.MethodDelete, other.Admin, "/v1/cuts/"+one.Entry.Peer.String(), "")
-}
-
 // Callers returns the callers' addresses of some instances.
 func Callers(instances ...*Instance) []netip.AddrPort {
 	var addresses []netip.AddrPort
--- a/internal/standin/starter/process.go
+++ b/internal/standin/starter/process.go
@@ -140,9 +140,6 @@
 // signal.
 func (p *Process) ExitCode() int { return p.command.ProcessState.ExitCode() }
 
-// Output returns what the process has printed so far.
-func (p *Process) Output() string { return p.output.String() }
-
 // Ports returns n loopback addresses that were free a moment ago.
 func Ports(t testing.TB, n int) []netip.AddrPort {
 	t.Helper()
