Let an owner whose targets are full reach for the others' free slots

Cause: with several homes, callers do not spread evenly over them (16 callers, three homes). The home that most of them kept used all room of the targets that it owns, while the others' targets stood idle: it could borrow only by a fresh report, and got none since it sent them nothing. Ruled out: the change of homes itself (targets are held for as long as answers are kept). Without ownership each home would need the others' counts. Change: a borrowed target takes one request without a report, whose answer brings one; its score is 0.3 worse than an own one's. A second try that was refused is asked for again.

--- a/internal/request/chooser/bar.go
+++ b/internal/request/chooser/bar.go
@@ -120,14 +120,12 @@
 const idleAge = 100 * time.Millisecond
 
 // borrowed returns the room at a target of other owners: the slots that they
-// leave free by a fresh report. Without one an owner of other targets keeps away,
-// and an instance that owns none, as when it stands in for a lost home, tries one.
+// leave free by a fresh report. Without one it takes one request, whose answer
+// brings a report. Callers do not spread evenly over the homes of a service, so an
+// owner whose own targets are full has to reach for the others' free slots.
 func (s *Set) borrowed(c *Candidate, at int64) int {
 	t := c.Target
 	if t.report.Load() == nil || at-t.reportedAt.Load() > int64(idleAge) {
-		if s.owners {
-			return 0
-		}
 		return min(1, c.Limit)
 	}
 	free := s.Slots - int(math.Ceil(math.Float64frombits(t.external.Load())))
--- a/internal/request/chooser/score.go
+++ b/internal/request/chooser/score.go
@@ -32,6 +32,9 @@
 	if c.Foreign {
 		p.Distance = s.tuning.Foreign
 	}
+	if !c.Owned && s.owners {
+		p.Distance += s.tuning.Borrow
+	}
 	slots := float64(s.Slots)
 	load := float64(p.Outstanding) + p.Others
 	wait := max(0, load+1-slots)/slots + s.tuning.Spread*min(1, load/slots)
--- a/internal/request/chooser/tuning.go
+++ b/internal/request/chooser/tuning.go
@@ -19,6 +19,9 @@
 	Spread float64
 	// Foreign is the score added to a target of another availability zone.
 	Foreign float64
+	// Borrow is the score added to a target of another owner at an instance that
+	// owns some itself.
+	Borrow float64
 	// Failed is the slowness that a failure counts as at least.
 	Failed float64
 	// Part is the share of targets that may be ejected at a time.
@@ -36,6 +39,7 @@
 		Stale:   20 * time.Millisecond,
 		Spread:  0.1,
 		Foreign: 0.05,
+		Borrow:  0.3,
 		Failed:  8,
 		Part:    0.5,
 		Window:  32,
--- a/internal/request/handler/race.go
+++ b/internal/request/handler/race.go
@@ -57,8 +57,12 @@
 	if o := c.begin(ctx, First); o != nil {
 		return o
 	}
-	second := c.timer()
+	delay, ok := c.dispatcher.HedgeDelay(c.request.Policy)
+	second := time.NewTimer(delay)
 	defer second.Stop()
+	if !ok || c.alone {
+		second.Stop()
+	}
 	for {
 		select {
 		case a := <-c.results:
@@ -67,23 +71,15 @@
 				return o
 			}
 		case <-second.C:
-			c.hedge(ctx)
+			if !c.hedge(ctx) {
+				second.Reset(dispatcher.HedgePause(delay))
+			}
 		case <-ctx.Done():
 			return c.expire(ctx)
 		}
 	}
 }
 
-// timer fires when a second try is due, or never.
-func (c *race) timer() *time.Timer {
-	delay, ok := c.dispatcher.HedgeDelay(c.request.Policy)
-	t := time.NewTimer(delay)
-	if !ok || c.alone {
-		t.Stop()
-	}
-	return t
-}
-
 func (c *race) want() dispatcher.Want {
 	return dispatcher.Want{
 		Policy:   c.request.Policy,
@@ -146,14 +142,17 @@
 	return Refuse(cause, retry)
 }
 
-// hedge starts a second try if there is free room and budget for it.
-func (c *race) hedge(ctx context.Context) {
+// hedge starts a second try if there is free room and budget for it. It is false
+// when a later question may have another answer.
+func (c *race) hedge(ctx context.Context) bool {
 	if c.running == 0 || c.made >= attempts {
-		return
+		return true
 	}
-	if lease, ok := c.dispatcher.Hedge(c.want(), c.handler.Clock()); ok {
+	lease, ok := c.dispatcher.Hedge(c.want(), c.handler.Clock())
+	if ok {
 		c.start(ctx, lease, Second)
 	}
+	return ok
 }
 
 // start sends the request over a lease in the background.
