--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -2,7 +2,7 @@
 # Measures a fleet of separate processes: how fast news spreads, how fast failed
 # members and leaving targets are out, and what control costs. Needs jq and curl.
 #
-#   scripts/measure.sh [PART...]   parts: publish calls kill shutdown drain control work
+#   scripts/measure.sh [PART...]   parts: publish calls kill shutdown drain control work path
 #   REPEAT=10                      repetitions of each scene
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -417,27 +417,54 @@
 
 # measure_work measures the processor time of instances by the rate of calls.
 measure_work() {
-  local rate before k
+  local rate before bytes k
   INSTANCES=4
   for ((k = 0; k < 32; k++)); do start_target "$k" "$PLACE" parts --slots 2 --mean 8ms; done
   for ((k = 0; k < 32; k++)); do await "$(target_address "$k")/health"; done
   start_fleet "$INSTANCES" ""
   for rate in 500 1000 2000; do
     before=$(ticks "$INSTANCES")
+    bytes=$(peer_bytes "$INSTANCES")
     start_load "work$rate" "$rate" 10
     finish "work$rate"
-    awk -v t="$(($(ticks "$INSTANCES") - before))" -v r="$rate" -v n="$(jq '.requests | length' "$OUT/work$rate.json")" 'BEGIN {
-      printf "work, %d calls/s: %.3f ms of processor time a call, %d calls\n", r, t * 10 / n, n }'
+    awk -v t="$(($(ticks "$INSTANCES") - before))" -v r="$rate" -v n="$(jq '.requests | length' "$OUT/work$rate.json")" \
+      -v b="$(($(peer_bytes "$INSTANCES") - bytes))" -v k="$INSTANCES" 'BEGIN {
+      printf "work, %d calls/s: %.3f ms of processor time a call, %d calls, peers %.0f B/s each\n", r, t * 10 / n, n, b / k / 10 }'
     hurt "work$rate" "$(now)"
   done
   end_fleet
   end_targets 32
 }
 
+# latencies NAME prints the distribution of the latencies of loads in milliseconds.
+latencies() {
+  jq -s -r --arg name "$1" '[.[].requests[].latency / 1e6] | sort |
+    "\($name): count \(length), p50 \(.[length / 2 | floor]) ms, p99 \(.[length * 99 / 100 | floor]) ms"' "$OUT/$1"-*.json
+}
+
+# measure_path compares the way through an instance with the direct one.
+measure_path() {
+  local k
+  INSTANCES=3
+  start_target 0 "$PLACE" parts --mean 2ms --sigma 0
+  await "$(target_address 0)/health"
+  start_fleet "$INSTANCES" ""
+  for ((k = 1; k <= 4; k++)); do
+    "$BIN/standin" load --direct --instances "$(target_address 0)" --mix 'parts/lookup rate=50 size=300' \
+      --duration 3s --seed "$k" --out "$OUT/direct-$k.json"
+    "$BIN/standin" load --instances "$(instances 3)" --mix 'parts/lookup rate=50 size=300' \
+      --duration 3s --seed "$k" --out "$OUT/through-$k.json"
+  done
+  latencies direct
+  latencies through
+  end_fleet
+  end_targets 1
+}
+
 sed -e 's/deadline: 250ms/deadline: 2s/' -e 's/wait: 220ms/wait: 1800ms/' -e 's/hedge: 15ms/hedge: 120ms/' \
   examples/himal.yaml >"$OUT/settings.yaml"
 start_platform "$OUT/settings.yaml"
 parts=("$@")
-if ((${#parts[@]} == 0)); then parts=(publish calls kill shutdown drain control work); fi
+if ((${#parts[@]} == 0)); then parts=(publish calls kill shutdown drain control work path); fi
 for part in "${parts[@]}"; do "measure_$part"; done
 echo "measure: ${parts[*]} done in $SECONDS s on $(git rev-parse --short HEAD), seed $SEED"
