--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -2,7 +2,7 @@
 # Measures a fleet of separate processes: how fast news spreads, how fast failed
 # members and leaving targets are out, and what control costs. Needs jq and curl.
 #
-#   scripts/measure.sh [PART...]   parts: publish calls kill shutdown drain control work path
+#   scripts/measure.sh [PART...]   parts: publish calls kill shutdown drain control loads work path
 #   REPEAT=10                      repetitions of each scene
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -415,6 +415,32 @@
   publish "$platform"
 }
 
+# measure_loads measures what peers tell each other while 210 services have load,
+# all of them served by four targets.
+measure_loads() {
+  local k bytes mixes=()
+  for k in 0 1 2 3; do start_target "$k" "$PLACE" service0 --slots 16 --mean 2ms; done
+  for k in 0 1 2 3; do await "$(target_address "$k")/health"; done
+  tree 210 >"$OUT/tree.yaml"
+  VERSION=$((VERSION + 1))
+  sed "s/^version:.*/version: $VERSION/" "$OUT/tree.yaml" | send PUT "$platform/admin/settings" -
+  get "$platform/admin/list" | jq -c '.targets = [.targets[] as $t | range(210) | . as $n | $t | .service = "service\($n)"]' >"$OUT/list.json"
+  send PUT "$platform/admin/list" - <"$OUT/list.json"
+  start_fleet "$INSTANCES" ""
+  for ((k = 0; k < 210; k++)); do mixes+=(--mix "service$k/lookup rate=2 size=100"); done
+  start loads "$BIN/standin" load --instances "$(instances "$INSTANCES")" --duration 30s --seed "$SEED" \
+    --callers 4 "${mixes[@]}" --out "$OUT/loads.json"
+  sleep 8
+  bytes=$(peer_bytes "$INSTANCES")
+  sleep 20
+  echo "control, $INSTANCES instances, 210 services with 2 calls/s each: $((($(peer_bytes "$INSTANCES") - bytes) / 20 / INSTANCES)) B/s each, $(resident "$INSTANCES") MB"
+  finish loads
+  hurt loads "$(now)"
+  end_fleet
+  end_targets 4
+  publish "$platform"
+}
+
 # measure_work measures the processor time of instances by the rate of calls.
 measure_work() {
   local rate before bytes k
@@ -465,6 +491,6 @@
   examples/himal.yaml >"$OUT/settings.yaml"
 start_platform "$OUT/settings.yaml"
 parts=("$@")
-if ((${#parts[@]} == 0)); then parts=(publish calls kill shutdown drain control work path); fi
+if ((${#parts[@]} == 0)); then parts=(publish calls kill shutdown drain control loads work path); fi
 for part in "${parts[@]}"; do "measure_$part"; done
 echo "measure: ${parts[*]} done in $SECONDS s on $(git rev-parse --short HEAD), seed $SEED"
