--- a/internal/standin/commander/load.go
+++ b/internal/standin/commander/load.go
@@ -50,6 +50,7 @@
 	f.StringVar(&s.Name, "name", "r", "beginning of every request's id")
 	f.IntVar(&s.Callers, "callers", 8, "independent callers")
 	f.DurationVar(&s.Delay, "delay", 0, "emulated one-way network delay")
+	f.DurationVar(&s.Timeout, "timeout", 0, "bound of an attempt, after which the next address is tried; 0 for none")
 	f.DurationVar(&s.Patience, "patience", 10*time.Second, "bound of a request with all its attempts")
 	f.IntVar(&s.Attempts, "attempts", 8, "bound of the attempts of a request")
 	f.BoolVar(&s.Spread, "spread", false, "send each request to any instance")
--- a/internal/standin/loader/caller.go
+++ b/internal/standin/loader/caller.go
@@ -38,6 +38,13 @@
 
 	// renew and expire are the times of renewal and of expiry.
 	renew, expire time.Time
+	// first is the position of the address to begin with, 0 until that one fails.
+	first atomic.Int64
+}
+
+// fail makes the next address the first one if the failed one was that.
+func (a *answer) fail(position int) {
+	a.first.CompareAndSwap(int64(position), int64((position+1)%len(a.Addresses)))
 }
 
 // caller is one independent caller.
--- a/internal/standin/loader/loader.go
+++ b/internal/standin/loader/loader.go
@@ -120,9 +120,10 @@
 	caller *caller
 	mix    Mix
 	key    key
-	// kept is the answer in use and index the next of its addresses.
-	kept  *answer
-	index int
+	// kept is the answer in use, position that of the address in use and failed
+	// the number of its addresses that failed.
+	kept             *answer
+	position, failed int
 	// operation is the operation id in use; it changes only while nothing can
 	// have run under it: after a refusal that says so, or if it was never sent.
 	operation string
@@ -142,14 +143,19 @@
 		t.operation = t.identify(a, address)
 	}
 	a.Operation = t.operation
-	a = t.caller.send(ctx, t.mix, a, address)
+	bounded, cancel := ctx, func() {}
+	if timeout := t.caller.settings.Timeout; timeout > 0 {
+		bounded, cancel = context.WithTimeout(ctx, timeout)
+	}
+	defer cancel()
+	a = t.caller.send(bounded, t.mix, a, address)
 	t.exposed = t.exposed || a.Operation != "" && a.Outcome != Unsent
 	return a, t.after(a, address), a.Outcome == Done || a.Final
 }
 
 // address returns the address to use, asking anew when all have failed.
 func (t *trial) address(ctx context.Context) (netip.AddrPort, error) {
-	if t.kept != nil && t.index >= len(t.kept.Addresses) {
+	if t.kept != nil && t.failed >= len(t.kept.Addresses) {
 		t.caller.forget(t.key, t.kept)
 		t.kept = nil
 	}
@@ -158,16 +164,22 @@
 		if err != nil {
 			return netip.AddrPort{}, err
 		}
-		t.kept, t.index = kept, 0
+		t.kept, t.position, t.failed = kept, int(kept.first.Load()), 0
 	}
-	return t.kept.Addresses[t.index], nil
+	return t.kept.Addresses[t.position], nil
+}
+
+// advance goes on to the next address.
+func (t *trial) advance() {
+	t.position = (t.position + 1) % len(t.kept.Addresses)
+	t.failed++
 }
 
 // identify returns a new operation id, or none when no executor is known. The
 // executor of an answer is its first instance.
 func (t *trial) identify(a Attempt, address netip.AddrPort) string {
 	token := t.kept.Executor
-	if token == "" || t.index > 0 {
+	if token == "" || t.position > 0 {
 		token = t.caller.token(address)
 	}
 	if token == "" {
@@ -178,13 +190,16 @@
 
 // after prepares the next attempt and returns the pause before it.
 func (t *trial) after(a Attempt, address netip.AddrPort) time.Duration {
+	if a.Status == 0 {
+		t.kept.fail(t.position)
+	}
 	switch {
 	case a.Outcome == Unsent:
-		t.index++
+		t.advance()
 		if !t.exposed {
 			t.operation = ""
 		}
-		if t.index >= len(t.kept.Addresses) {
+		if t.failed >= len(t.kept.Addresses) {
 			return backoff
 		}
 		return 0
@@ -193,7 +208,7 @@
 		t.operation, t.exposed = a.executor+"/"+base(a.ID), false
 		return 0
 	case a.Outcome == Unknown || a.Status == http.StatusServiceUnavailable:
-		t.index++
+		t.advance()
 	}
 	return max(a.Retry, backoff)
 }
--- a/internal/standin/loader/loader_test.go
+++ b/internal/standin/loader/loader_test.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -12,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"oriolecourse.example/oriolecourse/internal/standin/patterner"
 )
 
@@ -73,6 +76,9 @@
 // crash breaks the connection.
 func crash(http.ResponseWriter, string, int) { panic(http.ErrAbortHandler) }
 
+// attemptTimeout bounds an attempt of the tests.
+const attemptTimeout = time.Second
+
 // named refuses an operation and names an executor.
 func named(w http.ResponseWriter, _ string, _ int) {
 	reply(w, 409, "unrun", "", "Oriole-Executor", "e2")
@@ -112,6 +118,10 @@
 		{"gives up when the outcome is final", false, []func(http.ResponseWriter, string, int){
 			func(w http.ResponseWriter, _ string, _ int) { reply(w, 422, "unknown", "", "Oriole-Final", "true") },
 		}, "unsent unknown: unknown []"},
+		{"goes on to the next address when no answer comes in time", false, []func(http.ResponseWriter, string, int){
+			func(http.ResponseWriter, string, int) { time.Sleep(2 * attemptTimeout) },
+			func(w http.ResponseWriter, id string, _ int) { whole(w, id) },
+		}, "unsent unknown unsent done: done [ ]"},
 		{"notes a crossed answer", false, []func(http.ResponseWriter, string, int){
 			func(w http.ResponseWriter, _ string, _ int) { whole(w, "other.1") },
 		}, "unsent done crossed: done []"},
@@ -126,7 +136,7 @@
 			i := newInstance(t, func(w http.ResponseWriter, id string, n int) {
 				c.script[min(n, len(c.script))-1](w, id, n)
 			})
-			s := Settings{Instances: []netip.AddrPort{address(i.Server)}, Attempts: 4, Patience: 20 * time.Second}
+			s := Settings{Instances: []netip.AddrPort{address(i.Server)}, Attempts: 4, Patience: 20 * time.Second, Timeout: attemptTimeout}
 			caller := newCaller(s, 1, &atomic.Int64{})
 			r := caller.serve(t.Context(), Mix{Service: "s", Kind: "k", Once: c.once}, "q", time.Now())
 			if got := story(r, i.operations); got != c.want {
@@ -186,3 +196,12 @@
 		}
 	}
 }
+
+func TestCallerKeepsOffFailedInstance(t *testing.T) {
+	i := newInstance(t, func(w http.ResponseWriter, id string, _ int) { whole(w, id) })
+	c := newCaller(Settings{Instances: []netip.AddrPort{address(i.Server)}, Attempts: 4, Patience: 20 * time.Second}, 1, &atomic.Int64{})
+	first := c.serve(context.Background(), Mix{Service: "s", Kind: "k"}, "q", time.Now())
+	require.Len(t, first.Attempts, 2, "the first request meets the dead instance")
+	second := c.serve(context.Background(), Mix{Service: "s", Kind: "k"}, "r", time.Now())
+	require.Len(t, second.Attempts, 1, "the next one begins with the instance that answers")
+}
--- a/internal/standin/loader/settings.go
+++ b/internal/standin/loader/settings.go
@@ -28,6 +28,8 @@
 	// Patience bounds a request with all its attempts, Attempts their number.
 	Patience time.Duration
 	Attempts int
+	// Timeout bounds an attempt; 0 is no bound.
+	Timeout time.Duration
 	// Spread sends each request to any instance in place of the named ones.
 	Spread bool
 	// Burst raises the rate now and then.
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -208,7 +208,7 @@
 # start_load NAME RATE LENGTH starts a load on parts with a tenth of once calls.
 start_load() {
   start "$1" "$BIN/standin" load --instances "$(instances "$INSTANCES")" --name "$1" \
-    --duration "$3s" --seed "$SEED" --callers 16 --patience 20s \
+    --duration "$3s" --seed "$SEED" --callers 16 --timeout 2s --patience 20s \
     --mix "parts/lookup rate=$((${2} * 9 / 10)) size=300" --mix "parts/confirm rate=$((${2} / 10)) size=100 once" \
     --out "$OUT/$1.json"
 }
