--- a/internal/process/detector/believe.go
+++ b/internal/process/detector/believe.go
@@ -120,6 +120,7 @@
 	r.heard = now
 	if m.Leaving && !r.member.Leaving {
 		r.member.Leaving = true
+		r.summary = summary(r.member)
 		d.note(Change{Member: r.member, Before: r.member.State})
 		d.enqueue(r.member)
 	}
@@ -152,7 +153,7 @@
 		m.State = Suspect
 	}
 	address := m.Instance.Peer
-	d.records[address] = &record{member: m, heard: now, since: now}
+	d.records[address] = &record{member: m, heard: now, since: now, summary: summary(m)}
 	at, _ := slices.BinarySearchFunc(d.order, address, netip.AddrPort.Compare)
 	d.order = slices.Insert(d.order, at, address)
 	delete(d.candidates, address)
--- a/internal/process/detector/detector.go
+++ b/internal/process/detector/detector.go
@@ -32,6 +32,8 @@
 	heard time.Time
 	// since is the time of the last change of state.
 	since time.Time
+	// summary is the member's part of the digest.
+	summary uint64
 	// own is set while this instance's own ping raised the suspicion.
 	own bool
 }
--- a/internal/process/detector/gossip.go
+++ b/internal/process/detector/gossip.go
@@ -72,7 +72,7 @@
 	d.digest = summary(d.self)
 	for _, r := range d.records {
 		if r.member.State <= Suspect {
-			d.digest ^= summary(r.member)
+			d.digest ^= r.summary
 		}
 	}
 }
--- a/internal/process/relayer/packet.go
+++ b/internal/process/relayer/packet.go
@@ -13,13 +13,16 @@
 )
 
 // sendPacket sends a packet of the detector with the stamps of the documents and
-// with rumors on it.
-func (r *Relayer) sendPacket(a detector.Action, now time.Time) error {
+// with rumors on it. An answer goes by the link that the question came on.
+func (r *Relayer) sendPacket(via *link, a detector.Action, now time.Time) error {
 	ctx, cancel := context.WithTimeout(r.context, peerTimeout)
 	defer cancel()
-	l, err := r.pool.get(ctx, a.To)
-	if err != nil {
-		return trace.Wrap(err)
+	l := via
+	if l == nil || l.peer != a.To {
+		var err error
+		if l, err = r.pool.get(ctx, a.To); err != nil {
+			return trace.Wrap(err)
+		}
 	}
 	if a.Packet.Type == detector.Ping {
 		l.asked.CompareAndSwap(0, int64(time.Since(r.started)))
@@ -36,7 +39,7 @@
 	if e.Packet.From.Instance.Peer != l.peer || e.Packet.From.Incarnation != l.conn.Remote().Incarnation {
 		return &framer.Refusal{Cause: framer.Undecodable}
 	}
-	r.step(now, func(d *detector.Detector) []detector.Action { return d.Receive(e.Packet, now) })
+	r.stepVia(l, now, func(d *detector.Detector) []detector.Action { return d.Receive(e.Packet, now) })
 	r.hear(e.Rumors, now)
 	r.compare(l, e.Stamps, now)
 	return nil
--- a/internal/process/relayer/relayer.go
+++ b/internal/process/relayer/relayer.go
@@ -182,7 +182,7 @@
 	told := sync.WaitGroup{}
 	for _, a := range actions {
 		// Those who are not reached hear of it from the others.
-		told.Go(func() { _ = r.sendPacket(a, now) })
+		told.Go(func() { _ = r.sendPacket(nil, a, now) })
 	}
 	told.Wait()
 }
--- a/internal/process/relayer/run.go
+++ b/internal/process/relayer/run.go
@@ -121,12 +121,18 @@
 
 // step makes one decision of the detector and carries it out.
 func (r *Relayer) step(now time.Time, decide func(*detector.Detector) []detector.Action) {
+	r.stepVia(nil, now, decide)
+}
+
+// stepVia is step for what arrived on a link: answers go back on it, so that a
+// link that carries pings only one way is seen to stall.
+func (r *Relayer) stepVia(via *link, now time.Time, decide func(*detector.Detector) []detector.Action) {
 	r.mutex.Lock()
 	actions := decide(r.detector)
 	r.publish(r.detector.Changes())
 	r.mutex.Unlock()
 	for _, a := range actions {
-		r.deliver(a, now)
+		r.deliver(via, a, now)
 	}
 }
 
@@ -149,12 +155,12 @@
 }
 
 // deliver sends one packet of the detector and reports a ping that cannot be sent.
-func (r *Relayer) deliver(a detector.Action, now time.Time) {
+func (r *Relayer) deliver(via *link, a detector.Action, now time.Time) {
 	if a.Packet.Type == detector.Ping {
 		r.awaken()
 	}
 	r.spawn(func() {
-		err := r.sendPacket(a, now)
+		err := r.sendPacket(via, a, now)
 		if err != nil && r.context.Err() == nil {
 			later := time.Now()
 			r.step(later, func(d *detector.Detector) []detector.Action { return d.Unreachable(a.Packet, later) })
