Keep the count of connections of a target that comes back; refuse statuses that end no request

Cause: Forget dropped the count while requests were still running, so a target that was left out for a moment and used again could get twice the share of connections. Pools that probes of unused targets had made were never dropped. A target's 101 was read as a whole answer up to the end of its connection, and without one held the request beyond its deadline; a status below 100 panicked when it was passed on. Ruled out: a lock around dialing (the count itself retires the pool). Before: TestEffect/upgrade and TestEffect/status_that_cannot_be_passed_on gave done; TestRetainKeepsCount fails on a variant that drops the pool at once. After: all pass.

--- a/internal/connection/sender/pool.go
+++ b/internal/connection/sender/pool.go
@@ -41,11 +41,25 @@
 	return int(s.pool(target).open.Load())
 }
 
-// Forget closes the idle connections to a target that is gone.
-func (s *Sender) Forget(target netip.AddrPort) {
-	if p, ok := s.pools.LoadAndDelete(target); ok {
-		p.(*pool).transport.Load().CloseIdleConnections()
-	}
+// retired is added to the open connections of a pool that is dropped, so that
+// one who still holds it opens none.
+const retired = 1 << 32
+
+// Retain closes the idle connections to all targets but those in use. The count
+// of a target whose connections are not all closed is kept, since the share
+// holds for them too when the target is used again.
+func (s *Sender) Retain(used func(target netip.AddrPort) bool) {
+	s.pools.Range(func(key, value any) bool {
+		p := value.(*pool)
+		if used(key.(netip.AddrPort)) {
+			return true
+		}
+		p.transport.Load().CloseIdleConnections()
+		if p.open.CompareAndSwap(0, retired) {
+			s.pools.CompareAndDelete(key, value)
+		}
+		return true
+	})
 }
 
 func (s *Sender) pool(target netip.AddrPort) *pool {
--- a/internal/connection/sender/sender.go
+++ b/internal/connection/sender/sender.go
@@ -21,6 +21,10 @@
 // request rarely meets a connection that the target is about to close.
 const idleTimeout = 4 * time.Second
 
+// greatestStatus is the greatest status that can be passed on. One below 200 is
+// no final answer; that of an upgrade has no end.
+const greatestStatus = 599
+
 // Effect is what is known about the effect of a request on its target.
 type Effect int
 
@@ -80,6 +84,10 @@
 		}
 		return nil, Unsent, trace.Wrap(err, "nothing was sent")
 	}
+	if p.StatusCode < http.StatusOK || p.StatusCode > greatestStatus {
+		p.Body.Close()
+		return nil, Lost, trace.BadParameter("the status %d ends no request", p.StatusCode)
+	}
 	body, err := read(p, r.Limit)
 	if err != nil {
 		return nil, Lost, trace.Wrap(err)
--- a/internal/connection/sender/sender_test.go
+++ b/internal/connection/sender/sender_test.go
@@ -57,6 +57,8 @@
 		{"no answer", "", Lost, ""},
 		{"too large", "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n01234567890", Lost, ""},
 		{"too large by chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nb\r\n01234567890\r\n0\r\n\r\n", Lost, ""},
+		{"upgrade", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\nwhole", Lost, ""},
+		{"status that cannot be passed on", "HTTP/1.1 099 No\r\nContent-Length: 0\r\n\r\n", Lost, ""},
 		{"shed", "HTTP/1.1 503 No\r\nTarget-State: shed\r\nContent-Length: 0\r\n\r\n", Disowned, ""},
 		{"draining", "HTTP/1.1 503 No\r\nTarget-State: draining\r\nContent-Length: 0\r\n\r\n", Disowned, ""},
 		{"failed", "HTTP/1.1 503 No\r\nTarget-State: ready\r\nContent-Length: 0\r\n\r\n", Done, ""},
@@ -199,3 +201,36 @@
 		require.Zero(t, beyond.Load(), "no dial went beyond the share")
 	}
 }
+
+// TestRetainKeepsCount drops a target while a request runs there and uses it
+// again: the share still counts the connection of that request.
+func TestRetainKeepsCount(t *testing.T) {
+	begun, end := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		begun <- struct{}{}
+		<-end
+	}))
+	defer server.Close()
+	target := netip.MustParseAddrPort(server.Listener.Addr().String())
+	s := &Sender{DialTimeout: time.Second}
+	s.Share(target, 1)
+	effect := make(chan Effect, 1)
+	q := Request{Method: http.MethodGet, Path: "/", Limit: 10}
+	go func() {
+		_, e, _ := s.Send(context.Background(), target, q)
+		effect <- e
+	}()
+	<-begun
+	none := func(netip.AddrPort) bool { return false }
+	s.Retain(none)
+	s.Share(target, 2)
+	require.Equal(t, 1, s.Open(target))
+	close(end)
+	require.Equal(t, Done, <-effect)
+
+	require.Eventually(t, func() bool {
+		s.Retain(none)
+		_, kept := s.pools.Load(target)
+		return !kept
+	}, time.Second, time.Millisecond, "the pool is dropped with its last connection")
+}
--- a/internal/process/assembler/refresher.go
+++ b/internal/process/assembler/refresher.go
@@ -53,24 +53,12 @@
 		}
 		l = longest(l, p)
 	}
-	i.forget(homes)
+	i.homes.Store(&homes)
+	i.sender.Retain(func(target netip.AddrPort) bool { _, used := homes[target]; return used })
 	i.table.Configure(l, now)
 	i.plan.Store(plan)
 }
 
-// forget closes the connections to targets that are no longer used.
-func (i *Instance) forget(homes map[netip.AddrPort]tracker.Service) {
-	old := i.homes.Swap(&homes)
-	if old == nil {
-		return
-	}
-	for address := range *old {
-		if _, kept := homes[address]; !kept {
-			i.sender.Forget(address)
-		}
-	}
-}
-
 // longest raises the bounds of the executor to those of a service, since one
 // table serves all of them.
 func longest(l executor.Limits, p *resolver.Policy) executor.Limits {
