Never say of an operation that it has not run before its executor was asked

Cause: an instance that turned an operation away before its executor saw it (kind no longer in its settings, body too large or too slow) said unrun, also for the resend of one that had run; its caller then sends it under a new id, and it takes effect twice. An executor whose settings did not yet say that the kind runs at most once carried a forwarded operation as an idempotent request, without a record, with retries and second tries. One that was given an operation before it had settings ended with a nil pointer. Paths without a kind had no outcome. Ruled out: asking the executor in these cases, since the settings that are needed for the question are what is missing; unknown is true and allows a resend. Before: TestRejectsOperationsAsUnknown fails with Reject as Refuse, TestForwardedOperations panicked. After: both pass.

--- a/internal/connection/sender/sender_test.go
+++ b/internal/connection/sender/sender_test.go
@@ -206,11 +206,13 @@
 // again: the share still counts the connection of that request.
 func TestRetainKeepsCount(t *testing.T) {
 	begun, end := make(chan struct{}), make(chan struct{})
+	finish := sync.OnceFunc(func() { close(end) })
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		begun <- struct{}{}
 		<-end
 	}))
 	defer server.Close()
+	defer finish()
 	target := netip.MustParseAddrPort(server.Listener.Addr().String())
 	s := &Sender{DialTimeout: time.Second}
 	s.Share(target, 1)
@@ -225,7 +227,7 @@
 	s.Retain(none)
 	s.Share(target, 2)
 	require.Equal(t, 1, s.Open(target))
-	close(end)
+	finish()
 	require.Equal(t, Done, <-effect)
 
 	require.Eventually(t, func() bool {
--- /dev/null
+++ b/internal/process/assembler/instance_test.go
@@ -0,0 +1,58 @@
+package assembler
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"oriolecourse.example/oriolecourse/internal/process/adopter"
+	"oriolecourse.example/oriolecourse/internal/process/relayer"
+	"oriolecourse.example/oriolecourse/internal/request/handler"
+)
+
+// newInstance returns an instance that is not started.
+func newInstance() *Instance {
+	return New(Options{
+		Address: netip.MustParseAddrPort("127.0.0.1:1"),
+		Peer:    netip.MustParseAddrPort("127.0.0.1:2"),
+		Place:   "p",
+		Zone:    "z",
+		Logger:  log.NewNopLogger(),
+		Scope:   tally.NoopScope,
+		Tracer:  noop.NewTracerProvider().Tracer(""),
+	})
+}
+
+// publish puts a tree with one service into force.
+func publish(t *testing.T, i *Instance, version, service string) {
+	t.Helper()
+	text := "version: " + version + "\nplaces: {p: {services: {" + service + ": {kinds: {k: {deadline: 1s}}}}}}\n"
+	now := time.Now()
+	require.Equal(t, adopter.Accepted, i.settings.Offer([]byte(text), 0, 0, now), text)
+	i.apply(now)
+}
+
+// TestForwardedOperations has operations executed that an instance with other
+// settings, or with any, has passed on.
+func TestForwardedOperations(t *testing.T) {
+	i := newInstance()
+	token, ok := i.table.Token(time.Now())
+	require.True(t, ok)
+	h := http.Header{handler.HeaderOperation: {token.String() + "/part"}}
+	send := func(path string) *handler.Outcome {
+		return i.run(context.Background(), relayer.Operation{Method: http.MethodPost, Path: path, Header: h}, time.Now())
+	}
+	require.Equal(t, handler.Unknown, send("/s/s/k").Kind, "no settings are in force yet")
+
+	publish(t, i, "1", "s")
+	require.Equal(t, handler.Unknown, send("/s/s/other").Kind, "an earlier sending may have run")
+	require.Equal(t, handler.Unrun, send("/s/s/k").Kind)
+	require.Equal(t, 1, i.table.Stats().Records, "the operation has a record although the kind may run twice here")
+}
--- a/internal/process/assembler/peers.go
+++ b/internal/process/assembler/peers.go
@@ -86,11 +86,22 @@
 	return relayer.Outcome{Status: m.Status, Header: m.Header, Body: m.Body}
 }
 
+// run carries an operation to its outcome. The settings of the instance that
+// passed it on, which may be newer, say that it runs at most once.
 func (i *Instance) run(ctx context.Context, o relayer.Operation, now time.Time) *handler.Outcome {
+	s := i.settings.Current()
+	if s == nil {
+		return handler.Doubt(handler.CauseUnreached, 0)
+	}
 	service, kind, path := handler.Route(o.Path)
-	p := i.settings.Current().Policy(i.options.Place, service, kind)
+	p := s.Policy(i.options.Place, service, kind)
 	if p == nil {
-		return handler.Refuse(handler.CauseName, 0)
+		return handler.Doubt(handler.CauseName, 0)
+	}
+	if !p.Once {
+		once := *p
+		once.Once = true
+		p = &once
 	}
 	r := handler.NewRequest(p, o.Method, path, o.Header, o.Body, now)
 	if o.Left > 0 && now.Add(o.Left).Before(r.Deadline) {
--- a/internal/process/server/callers.go
+++ b/internal/process/server/callers.go
@@ -57,6 +57,7 @@
 	e := echo.New()
 	e.GET("/v1/address", c.address)
 	e.Any(handler.RequestPrefix+":service/:kind", c.request)
+	e.RouteNotFound(handler.RequestPrefix+"*", c.request)
 	e.Any(handler.RequestPrefix+":service/:kind/*", c.request)
 	return e
 }
@@ -95,10 +96,11 @@
 // accept reads the whole request, or says why it is refused.
 func (c *Callers) accept(x echo.Context, now time.Time) (*handler.Request, *handler.Outcome) {
 	q := x.Request()
+	operation := q.Header.Get(handler.HeaderOperation)
 	service, kind, path := handler.Route(q.URL.RequestURI())
 	p := c.Settings().Policy(c.Place, service, kind)
 	if p == nil {
-		return nil, handler.Refuse(handler.CauseName, 0)
+		return nil, handler.Reject(handler.CauseName, operation)
 	}
 	// A body that does not come in time must not hold the connection for ever; a
 	// connection without deadlines cannot be bounded.
@@ -108,9 +110,9 @@
 	if err != nil {
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
-			return nil, handler.Refuse(handler.CauseSize, 0)
+			return nil, handler.Reject(handler.CauseSize, operation)
 		}
-		return nil, handler.Refuse(handler.CauseCancelled, 0)
+		return nil, handler.Reject(handler.CauseCancelled, operation)
 	}
 	_ = w.SetReadDeadline(time.Time{})
 	return handler.NewRequest(p, q.Method, path, q.Header, body, now), nil
--- /dev/null
+++ b/internal/process/server/callers_test.go
@@ -0,0 +1,52 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"oriolecourse.example/oriolecourse/internal/request/handler"
+	"oriolecourse.example/oriolecourse/internal/version/resolver"
+)
+
+// TestRejectsOperationsAsUnknown turns requests away before an executor has seen
+// them: an earlier sending of an operation may have run.
+func TestRejectsOperationsAsUnknown(t *testing.T) {
+	p := &resolver.Policy{Place: "p", Service: "s", Kind: "k", Deadline: time.Second, Body: 4}
+	c := &Callers{
+		Place: "p",
+		Settings: func() *resolver.Snapshot {
+			return &resolver.Snapshot{Policies: map[resolver.Key]*resolver.Policy{{Place: "p", Service: "s", Kind: "k"}: p}}
+		},
+		Leaving: func() bool { return false },
+		Handle: func(context.Context, *handler.Request) *handler.Outcome {
+			return &handler.Outcome{Kind: handler.Done, Status: http.StatusNoContent}
+		},
+		Tracer: noop.NewTracerProvider().Tracer(""),
+	}
+	for _, test := range []struct {
+		path, body, operation string
+		status                int
+		outcome               handler.Kind
+	}{
+		{"/s/s/k", "body", "", http.StatusNoContent, handler.Done},
+		{"/s/s/gone", "", "", http.StatusNotFound, handler.Unrun},
+		{"/s/s/gone", "", "id", http.StatusNotFound, handler.Unknown},
+		{"/s/s", "", "id", http.StatusNotFound, handler.Unknown},
+		{"/s/s/k", "large", "", http.StatusRequestEntityTooLarge, handler.Unrun},
+		{"/s/s/k", "large", "id", http.StatusRequestEntityTooLarge, handler.Unknown},
+	} {
+		q := httptest.NewRequest(http.MethodPost, test.path, strings.NewReader(test.body))
+		q.Header.Set(handler.HeaderOperation, test.operation)
+		w := httptest.NewRecorder()
+		c.Router().ServeHTTP(w, q)
+		require.Equal(t, test.status, w.Code, test)
+		require.Equal(t, string(test.outcome), w.Header().Get(handler.HeaderOutcome), test)
+	}
+}
--- a/internal/request/handler/outcome.go
+++ b/internal/request/handler/outcome.go
@@ -116,6 +116,16 @@
 	return outcome(Unknown, c, retry)
 }
 
+// Reject makes an outcome of a request that is turned away before it is known
+// whether an earlier sending of it has run. Only the executor can say of an
+// operation that it did not.
+func Reject(c Cause, operation string) *Outcome {
+	if operation != "" {
+		return Doubt(c, 0)
+	}
+	return Refuse(c, 0)
+}
+
 func outcome(k Kind, c Cause, retry time.Duration) *Outcome {
 	r := records[c]
 	if retry <= 0 {
