Tell rates less often when calls are rare; hash addresses without text

A rate of a few calls per second changes by more than a quarter by chance, so that it would be told at every look and crowd out other rumors. A change now has to exceed three standard deviations of the meter, and one rate is told at most every 5 s.

--- a/internal/process/steerer/assign.go
+++ b/internal/process/steerer/assign.go
@@ -47,6 +47,11 @@
 
 func hashText(text string) uint64 { return xxhash.Sum64String(text) }
 
+func hashAddress(a netip.AddrPort) uint64 {
+	ip := a.Addr().As16()
+	return mix(xxhash.Sum64(ip[:]) ^ uint64(a.Port()))
+}
+
 // score is the weighted rendezvous score of a bin for an item: the bin with the
 // highest one takes the item, and a change of one bin moves only its own items.
 func score(b bin, item uint64) float64 {
@@ -115,11 +120,11 @@
 	}
 	bins := make([]bin, len(homes))
 	for i, h := range homes {
-		bins[i] = bin{hash: hashText(h.String()), weight: fullWeight}
+		bins[i] = bin{hash: hashAddress(h), weight: fullWeight}
 	}
 	items := make([]uint64, len(targets))
 	for i, t := range targets {
-		items[i] = hashText(t.String())
+		items[i] = hashAddress(t)
 	}
 	for i, j := range assign(items, bins, 1, 0) {
 		owners[targets[i]] = homes[j]
--- a/internal/process/steerer/load.go
+++ b/internal/process/steerer/load.go
@@ -11,6 +11,11 @@
 const (
 	// tellChange is the relative change of a rate that is told at once.
 	tellChange = 0.25
+	// tellNoise is the number of standard deviations of a metered rate below which
+	// a change is not told: rare calls come irregularly.
+	tellNoise = 3
+	// tellGap is the least time between two tellings of one rate.
+	tellGap = 5 * time.Second
 	// tellEvery is the time after which an unchanged rate is told again; it is
 	// well below the life of what is told.
 	tellEvery = 40 * time.Second
@@ -119,9 +124,14 @@
 	defer l.mutex.Unlock()
 	k := key{place, service}
 	last := l.own[k]
-	changed := math.Abs(rate-last.rate) > tellChange*max(rate, last.rate)
-	quiet := rate < 1 && last.rate < 1
-	if quiet || !changed && now.Before(last.until) {
+	high := max(rate, last.rate)
+	noise := tellNoise * math.Sqrt(high/(2*meterTime.Seconds()))
+	changed := math.Abs(rate-last.rate) > max(tellChange*high, noise)
+	due := last.until
+	if changed {
+		due = due.Add(tellGap - tellEvery)
+	}
+	if high < 1 || now.Before(due) {
 		return false
 	}
 	l.own[k] = told{rate: rate, until: now.Add(tellEvery)}
--- a/internal/process/steerer/plan.go
+++ b/internal/process/steerer/plan.go
@@ -67,7 +67,7 @@
 }
 
 func newHome(m detector.Member, load map[netip.AddrPort]float64) home {
-	return home{member: m, hash: hashText(m.Instance.Peer.String()), weight: weigh(load[m.Instance.Peer])}
+	return home{member: m, hash: hashAddress(m.Instance.Peer), weight: weigh(load[m.Instance.Peer])}
 }
 
 // byPlace returns the members that may be named, by place, in the order of peers.
