Let a stop wait for answers to peers and for what earlier settings allowed

Cause: an instance that stops waited until no operation was pending, and then cut the links on which the answers were still leaving. It waited as long as the settings in force say, though callers may keep answers and requests may run for as long as earlier settings said; and it ended when the last deadline passed, while an answer that came right then was being written. Ruled out: a fixed longer wait, which makes each stop longer; the stop still takes as long as before when settings do not change.

--- a/internal/process/assembler/instance.go
+++ b/internal/process/assembler/instance.go
@@ -58,6 +58,8 @@
 	plan atomic.Pointer[steerer.Plan]
 	// ready is set when callers are served, leaving when the instance will stop.
 	ready, leaving atomic.Bool
+	// horizon tells how long a stop has to wait.
+	horizon horizon
 	// cuts holds the peers with which the exchange is forbidden.
 	cuts sync.Map
 	// outages holds, by peer, until when an instance counts as without the platform.
@@ -102,7 +104,10 @@
 	i.operator = &handler.Operator{Table: i.table, Legacies: i.legacies, Handler: i.handler, Forward: i.forward}
 	i.settings.Reject = func(r adopter.Rejection) { i.rejected("settings", r) }
 	i.list.Reject = func(r adopter.Rejection) { i.rejected("list", r) }
-	i.settings.Change = func(_ *resolver.Snapshot, p adopter.Stamp, now time.Time) { i.adopted("settings", p, now) }
+	i.settings.Change = func(s *resolver.Snapshot, p adopter.Stamp, now time.Time) {
+		i.horizon.change(s, now)
+		i.adopted("settings", p, now)
+	}
 	i.list.Change = func(l *lister.List, p adopter.Stamp, now time.Time) {
 		i.tellLeaving(i.tracker.List(l, now))
 		i.relayer.Seed(l, now)
--- a/internal/process/assembler/life.go
+++ b/internal/process/assembler/life.go
@@ -22,6 +22,9 @@
 	lookPeriod = 20 * time.Millisecond
 	// settleTime is how long it takes until all instances know that one is leaving.
 	settleTime = 3 * time.Second
+	// finishTime bounds the writing of an answer that came at the deadline of its
+	// request.
+	finishTime = 10 * time.Second
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 10 * time.Second
 )
@@ -139,12 +142,15 @@
 	begun := time.Now()
 	i.leaving.Store(true)
 	i.relayer.Leave(begun)
-	keep, deadline := i.longest()
-	_ = level.Info(i.options.Logger).Log("msg", "leaving", "wait", settleTime+keep)
-	l.pause(settleTime + keep)
-
-	i.table.Close(time.Now())
-	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	kept, _ := i.horizon.at(begun)
+	wait := settleTime + kept.Sub(begun)
+	_ = level.Info(i.options.Logger).Log("msg", "leaving", "wait", wait)
+	l.pause(wait)
+
+	now := time.Now()
+	i.table.Close(now)
+	_, due := i.horizon.at(now)
+	ctx, cancel := context.WithDeadline(context.Background(), due.Add(finishTime))
 	defer cancel()
 	err := l.server.Shutdown(ctx)
 	l.drained(ctx)
@@ -165,11 +171,12 @@
 	}
 }
 
-// drained waits until no operation that peers have passed on is in flight.
+// drained waits until no operation that peers have passed on is in flight and
+// their answers have been sent.
 func (l *life) drained(ctx context.Context) {
 	t := time.NewTicker(lookPeriod)
 	defer t.Stop()
-	for l.instance.table.Stats().Pending > 0 {
+	for l.instance.table.Stats().Pending > 0 || l.instance.relayer.Executing() > 0 {
 		select {
 		case <-ctx.Done():
 			return
@@ -177,13 +184,3 @@
 		}
 	}
 }
-
-// longest returns the longest time for which callers keep an answer, and the
-// longest deadline of a request.
-func (i *Instance) longest() (keep, deadline time.Duration) {
-	for _, p := range i.settings.Current().Policies {
-		keep = max(keep, p.Keep)
-		deadline = max(deadline, p.Deadline)
-	}
-	return keep, deadline
-}
--- a/internal/process/relayer/forward.go
+++ b/internal/process/relayer/forward.go
@@ -102,6 +102,18 @@
 	}
 }
 
+// Executing returns the number of operations that run for peers or whose answers
+// are on their way.
+func (r *Relayer) Executing() int {
+	total := 0
+	for _, l := range r.pool.open() {
+		l.mutex.Lock()
+		total += len(l.running)
+		l.mutex.Unlock()
+	}
+	return total
+}
+
 // ended closes an operation that ran for the other side.
 func (l *link) ended(id uint64) {
 	l.mutex.Lock()
--- a/internal/process/relayer/forward_test.go
+++ b/internal/process/relayer/forward_test.go
@@ -119,3 +119,29 @@
 		t.Errorf("status %d, error %v: the executor runs", out.Status, err)
 	}
 }
+
+// TestExecutingUntilAnswered stops an executor once it executes nothing: the
+// answer has left before.
+func TestExecutingUntilAnswered(t *testing.T) {
+	nodes := startFleet(t, 2, testPeriod)
+	asking, stopping := nodes[0], nodes[1]
+	released := make(chan bool)
+	release := sync.OnceFunc(func() { close(released) })
+	defer release()
+	stopping.options.Execute = func(_ context.Context, o Operation) Outcome {
+		<-released
+		return Outcome{Status: 200, Body: make([]byte, 1<<20)}
+	}
+	answered := make(chan error, 1)
+	go func() {
+		_, err := asking.Forward(t.Context(), stopping.options.Self.Peer, Operation{Incarnation: stopping.options.Incarnation})
+		answered <- err
+	}()
+	eventually(t, "the operation", func() bool { return stopping.Executing() == 1 })
+	release()
+	eventually(t, "the answer", func() bool { return stopping.Executing() == 0 })
+	stopping.Stop()
+	if err := <-answered; err != nil {
+		t.Error(err)
+	}
+}
