Forget services, executors and outages that are gone

Cause: the parts of a service that the settings no longer have, the tokens of replaced executors, the outages that were told of replaced instances and the doubts of targets that are no longer known were kept for the life of the process. The parts of a service stay for ten minutes and as long as a probe may still reach its target, so that neither a limit nor the budget starts anew.

--- a/internal/process/assembler/instance_test.go
+++ b/internal/process/assembler/instance_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -13,8 +14,10 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"oriolecourse.example/oriolecourse/internal/process/adopter"
+	"oriolecourse.example/oriolecourse/internal/process/detector"
 	"oriolecourse.example/oriolecourse/internal/process/relayer"
 	"oriolecourse.example/oriolecourse/internal/request/handler"
+	"oriolecourse.example/oriolecourse/internal/version/lister"
 )
 
 // newInstance returns an instance that is not started.
@@ -56,3 +59,22 @@
 	require.Equal(t, handler.Unrun, send("/s/s/k").Kind)
 	require.Equal(t, 1, i.table.Stats().Records, "the operation has a record although the kind may run twice here")
 }
+
+// TestForgetsWhatIsGone renames a service and replaces an executor many times:
+// what is kept of them does not grow.
+func TestForgetsWhatIsGone(t *testing.T) {
+	i := newInstance()
+	now := time.Now()
+	for n := range 50 {
+		at := now.Add(time.Duration(n) * removedLife)
+		publish(t, i, strconv.Itoa(n+1), "s"+strconv.Itoa(n))
+		i.apply(at)
+		peer := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(n+1))
+		i.tokens.keep(detector.Member{Instance: lister.Instance{Peer: peer}}, "token", at)
+		i.outages.Store(peer, now)
+		i.able()
+	}
+	require.LessOrEqual(t, len(i.services.all()), 2)
+	require.Len(t, i.tokens.kept, 1)
+	i.outages.Range(func(peer, _ any) bool { t.Error("kept", peer); return true })
+}
--- a/internal/process/assembler/platform.go
+++ b/internal/process/assembler/platform.go
@@ -40,9 +40,15 @@
 // able returns those members that have not told that they lost the platform.
 func (i *Instance) able() []netip.AddrPort {
 	now := time.Now()
+	i.outages.Range(func(peer, until any) bool {
+		if !now.Before(until.(time.Time)) {
+			i.outages.CompareAndDelete(peer, until)
+		}
+		return true
+	})
 	return slices.DeleteFunc(i.alive(), func(peer netip.AddrPort) bool {
-		until, told := i.outages.Load(peer)
-		return told && now.Before(until.(time.Time))
+		_, told := i.outages.Load(peer)
+		return told
 	})
 }
 
--- a/internal/process/assembler/probes.go
+++ b/internal/process/assembler/probes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"net/netip"
 	"time"
@@ -68,7 +69,10 @@
 	if s == nil {
 		return
 	}
-	for k, v := range p.instance.services.all() {
+	services := p.instance.services.all()
+	maps.DeleteFunc(p.doubts, func(_ tracker.Key, d doubt) bool { return now.Sub(d.until) >= removedLife })
+	maps.DeleteFunc(p.next, func(k tracker.Service, _ time.Time) bool { return services[k] == nil })
+	for k, v := range services {
 		policy := s.Service(k.Place, k.Service)
 		if policy == nil || policy.Probes == 0 || now.Before(p.next[k]) {
 			continue
--- a/internal/process/assembler/refresher.go
+++ b/internal/process/assembler/refresher.go
@@ -53,6 +53,7 @@
 		}
 		l = longest(l, p)
 	}
+	i.services.retain(s, now)
 	i.homes.Store(&homes)
 	i.sender.Retain(func(target netip.AddrPort) bool { _, used := homes[target]; return used })
 	i.table.Configure(l, now)
--- a/internal/process/assembler/services.go
+++ b/internal/process/assembler/services.go
@@ -25,8 +25,15 @@
 	held map[netip.AddrPort]time.Time
 	// scaler decides how many homes are active; the refresher owns it.
 	scaler steerer.Scaler
+	// removed is when the settings were first found without the service, zero
+	// while they have it; the refresher owns it.
+	removed time.Time
 }
 
+// removedLife is the time after which the parts of a removed service are dropped.
+// Its requests and probes have ended by then.
+const removedLife = 10 * time.Minute
+
 // services holds the parts by service. Readers load the map without a lock.
 type services struct {
 	zone string
@@ -65,6 +72,25 @@
 	return made
 }
 
+// retain drops the parts of services that the settings have not had for long.
+func (s *services) retain(settings *resolver.Snapshot, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	kept := maps.Clone(*s.current.Load())
+	maps.DeleteFunc(kept, func(k tracker.Service, v *service) bool {
+		switch {
+		case settings.Service(k.Place, k.Service) != nil:
+			v.removed = time.Time{}
+		case v.removed.IsZero():
+			v.removed = now
+		}
+		return !v.removed.IsZero() && now.Sub(v.removed) >= removedLife && v.prober.Pending() == 0
+	})
+	if len(kept) < len(*s.current.Load()) {
+		s.current.Store(&kept)
+	}
+}
+
 // all returns the parts of all services; the map must not be modified.
 func (s *services) all() map[tracker.Service]*service {
 	return *s.current.Load()
--- a/internal/process/assembler/tokens.go
+++ b/internal/process/assembler/tokens.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"sync"
 	"time"
@@ -71,6 +72,7 @@
 func (t *tokens) keep(m detector.Member, text string, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	maps.DeleteFunc(t.kept, func(_ netip.AddrPort, k keptToken) bool { return !now.Before(k.until) })
 	t.kept[m.Instance.Peer] = keptToken{incarnation: m.Incarnation, text: text, until: now.Add(tokenLife)}
 }
 
--- a/internal/process/prober/prober.go
+++ b/internal/process/prober/prober.go
@@ -87,6 +87,13 @@
 	p.budget.Done(c, now)
 }
 
+// Pending returns the number of probes that may still reach their targets.
+func (p *Prober) Pending() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.budget.open)
+}
+
 // Count returns the number of probes sent since the start of the process.
 func (p *Prober) Count() int64 {
 	p.mu.Lock()
