--- a/internal/process/relayer/forward_test.go
+++ b/internal/process/relayer/forward_test.go
@@ -128,7 +128,7 @@
 	released := make(chan bool)
 	release := sync.OnceFunc(func() { close(released) })
 	defer release()
-	stopping.options.Execute = func(_ context.Context, o Operation) Outcome {
+	stopping.options.Execute = func(_ context.Context, _ Operation) Outcome {
 		<-released
 		return Outcome{Status: 200, Body: make([]byte, 1<<20)}
 	}
