Bound what is remembered of heirs and read only whole outcomes of peers

Cause: who answers for an incarnation that has ended was dropped only when someone asked for it; an instance could pass an operation to itself as the heir in the moment in which its own inheritance ran out; a message of a peer without a known outcome or status was passed on and panicked in the writing of the answer. Proof: TestForgetsWhatIsGone and TestUnreadableOutcome, which failed before.

--- a/internal/process/assembler/instance_test.go
+++ b/internal/process/assembler/instance_test.go
@@ -73,8 +73,11 @@
 		i.tokens.keep(detector.Member{Instance: lister.Instance{Peer: peer}}, "token", at)
 		i.outages.Store(peer, now)
 		i.able()
+		i.hearHeir(relayer.Rumor{Instance: peer, Start: "1", Left: time.Second}, at)
 	}
 	require.LessOrEqual(t, len(i.services.all()), 2)
 	require.Len(t, i.tokens.kept, 1)
 	i.outages.Range(func(peer, _ any) bool { t.Error("kept", peer); return true })
+	last := ended{peer: netip.MustParseAddrPort("127.0.0.1:50")}
+	i.heirs.Range(func(of, _ any) bool { require.Equal(t, last, of); return true })
 }
--- a/internal/process/assembler/legacies.go
+++ b/internal/process/assembler/legacies.go
@@ -101,6 +101,12 @@
 	if !ok {
 		return
 	}
+	i.heirs.Range(func(key, known any) bool {
+		if !now.Before(known.(heir).until) {
+			i.heirs.CompareAndDelete(key, known)
+		}
+		return true
+	})
 	i.heirs.Store(ended{peer: r.Instance, incarnation: r.Fingerprint}, heir{
 		token: executor.Token{Peer: r.Target, Incarnation: incarnation},
 		until: now.Add(r.Left),
@@ -114,8 +120,8 @@
 		return nil, false
 	}
 	h := found.(heir)
-	if !time.Now().Before(h.until) {
-		i.heirs.Delete(ended{peer: to.Peer, incarnation: to.Incarnation})
+	// What this instance itself has inherited was looked at before.
+	if !time.Now().Before(h.until) || h.token.Peer == i.options.Peer {
 		return nil, false
 	}
 	a, err := i.relayer.Forward(ctx, h.token.Peer, operation(h.token.Incarnation, r))
--- a/internal/request/handler/handler_test.go
+++ b/internal/request/handler/handler_test.go
@@ -280,3 +280,10 @@
 	h.Handle(context.Background(), request(p))
 	require.Equal(t, old, told.Run.Start)
 }
+
+// TestUnreadableOutcome reads messages that no instance of this version writes.
+func TestUnreadableOutcome(t *testing.T) {
+	for _, m := range []Message{{}, {Status: 200}, {Status: 0, Header: http.Header{HeaderOutcome: {string(Done)}}}} {
+		require.Equal(t, Doubt(CauseUnreached, 0), Read(m))
+	}
+}
--- a/internal/request/handler/message.go
+++ b/internal/request/handler/message.go
@@ -38,8 +38,16 @@
 	return m
 }
 
-// Read reads the outcome that another instance has written.
+// greatestStatus is the greatest HTTP status that there is.
+const greatestStatus = 599
+
+// Read reads the outcome that another instance has written. One that cannot be
+// read says nothing of the request.
 func Read(m Message) *Outcome {
+	_, known := results[Kind(m.Header.Get(HeaderOutcome))]
+	if !known || m.Status < http.StatusOK || m.Status > greatestStatus {
+		return Doubt(CauseUnreached, 0)
+	}
 	o := &Outcome{
 		Kind:     Kind(m.Header.Get(HeaderOutcome)),
 		Status:   m.Status,
