Let callers spread over the active homes of a service

Cause: with several homes each caller kept one of them, so that a burst met homes that were loaded unevenly; the fuller one refused what could not meet its deadline. The estimate of the wait jumped with single grants, too. Change: an answer tells how many of its leading addresses are active; the caller stand-in spreads over them until one fails. The drain rate is averaged over 64 grants, each bounded by four averages.

--- a/internal/process/assembler/answers.go
+++ b/internal/process/assembler/answers.go
@@ -30,6 +30,7 @@
 		named = slices.DeleteFunc(named, func(m detector.Member) bool { return m.Instance.Place != place })
 	}
 	a := &server.Answer{Service: name, Place: place, Keep: s.Service(place, name).Keep.String()}
+	a.Active = min(max(1, len(plan.Homes(place, name))), len(named))
 	for _, m := range named {
 		a.Addresses = append(a.Addresses, m.Instance.Address)
 	}
--- a/internal/process/server/callers.go
+++ b/internal/process/server/callers.go
@@ -25,6 +25,8 @@
 	Place   string `json:"place"`
 	// Addresses are in the order in which the caller should try them.
 	Addresses []netip.AddrPort `json:"addresses"`
+	// Active is the number of leading addresses that take the calls in equal parts.
+	Active int `json:"active"`
 	// Keep is how long the caller may use the answer, as a Go duration.
 	Keep string `json:"keep"`
 	// Executor is the token of the first address for kinds that run at most once.
--- a/internal/request/queuer/drain.go
+++ b/internal/request/queuer/drain.go
@@ -12,8 +12,12 @@
 }
 
 const (
-	// drainGain is the weight of one grant in the average.
-	drainGain = 1.0 / 16
+	// drainGain is the weight of one grant in the average. Grants come irregularly,
+	// and an average that jumps refuses requests that could have been served.
+	drainGain = 1.0 / 64
+	// drainBound bounds one interval, in averages, so that a short pause of the
+	// process does not count as a slow service.
+	drainBound = 4
 	// fastest bounds the expected rate.
 	fastest = time.Microsecond
 )
@@ -25,6 +29,7 @@
 		if d.interval == 0 {
 			d.interval = interval
 		}
+		interval = min(interval, drainBound*d.interval)
 		d.interval += time.Duration(drainGain * float64(interval-d.interval))
 	}
 	d.pause()
--- a/internal/standin/loader/caller.go
+++ b/internal/standin/loader/caller.go
@@ -35,15 +35,30 @@
 	Addresses []netip.AddrPort `json:"addresses"`
 	Keep      string           `json:"keep"`
 	Executor  string           `json:"executor"`
+	// Active is the number of leading addresses over which requests are spread.
+	Active int `json:"active"`
 
 	// renew and expire are the times of renewal and of expiry.
 	renew, expire time.Time
 	// first is the position of the address to begin with, 0 until that one fails.
 	first atomic.Int64
+	// turn counts the requests that were spread, failed is set once an address has
+	// failed, after which all requests begin with the first one.
+	turn   atomic.Int64
+	failed atomic.Bool
+}
+
+// begin returns the position of the address that a request begins with.
+func (a *answer) begin() int {
+	if a.Active > 1 && a.Active <= len(a.Addresses) && !a.failed.Load() {
+		return int(a.turn.Add(1) % int64(a.Active))
+	}
+	return int(a.first.Load())
 }
 
 // fail makes the next address the first one if the failed one was that.
 func (a *answer) fail(position int) {
+	a.failed.Store(true)
 	a.first.CompareAndSwap(int64(position), int64((position+1)%len(a.Addresses)))
 }
 
--- a/internal/standin/loader/loader.go
+++ b/internal/standin/loader/loader.go
@@ -164,7 +164,7 @@
 		if err != nil {
 			return netip.AddrPort{}, err
 		}
-		t.kept, t.position, t.failed = kept, int(kept.first.Load()), 0
+		t.kept, t.position, t.failed = kept, kept.begin(), 0
 	}
 	return t.kept.Addresses[t.position], nil
 }
