Spell as the standard library does: canceled, rumor, behavior

Both spellings stood beside each other (relayer.Rumor and tracker.Rumour). The cause that callers see is now canceled too.

--- a/internal/process/assembler/rumors.go
+++ b/internal/process/assembler/rumors.go
@@ -15,11 +15,11 @@
 	switch r.Topic {
 	case relayer.Draining:
 		key := tracker.Key{Place: r.Place, Service: r.Service, Address: r.Target}
-		if i.tracker.Hear(tracker.Rumour{Key: key, Start: r.Start, Age: r.Age()}, now) {
+		if i.tracker.Hear(tracker.Rumor{Key: key, Start: r.Start, Age: r.Age()}, now) {
 			i.wake()
 		}
 	case relayer.Loss, relayer.Cleared:
-		i.quarantine.Hear(quarantiner.Rumour{
+		i.quarantine.Hear(quarantiner.Rumor{
 			Service:     quarantiner.Service{Place: r.Place, Service: r.Service},
 			Fingerprint: quarantiner.Fingerprint(r.Fingerprint),
 			Run:         quarantiner.Run{Address: r.Target, Start: r.Start},
@@ -36,7 +36,7 @@
 }
 
 // tellLoss spreads the loss of a request, or that it has been answered whole since.
-func (i *Instance) tellLoss(u quarantiner.Rumour) {
+func (i *Instance) tellLoss(u quarantiner.Rumor) {
 	topic := relayer.Loss
 	if u.Cleared {
 		topic = relayer.Cleared
@@ -52,7 +52,7 @@
 }
 
 // tellLeaving spreads that runs of targets are leaving.
-func (i *Instance) tellLeaving(told []tracker.Rumour) {
+func (i *Instance) tellLeaving(told []tracker.Rumor) {
 	for _, u := range told {
 		_ = level.Info(i.options.Logger).Log("msg", "target leaving", "place", u.Key.Place,
 			"service", u.Key.Service, "target", u.Key.Address, "start", u.Start)
--- a/internal/process/dispatcher/lease.go
+++ b/internal/process/dispatcher/lease.go
@@ -82,7 +82,7 @@
 		changed = t.Fail(p.Failures, p.Eject, now)
 	case retrier.Shed:
 		t.Shed(p.Slots, now)
-	case retrier.Cancelled:
+	case retrier.Canceled:
 		t.ObserveAtLeast(l.normal.Ratio(latency), now)
 	}
 	if r.State == StateDraining {
--- a/internal/process/quarantiner/evidence.go
+++ b/internal/process/quarantiner/evidence.go
@@ -34,8 +34,8 @@
 	Start string
 }
 
-// Rumour tells peers of a loss, or that a suspect was answered whole.
-type Rumour struct {
+// Rumor tells peers of a loss, or that a suspect was answered whole.
+type Rumor struct {
 	Service     Service
 	Fingerprint Fingerprint
 	// Run is the lost run; it is empty when Cleared is set.
--- a/internal/process/quarantiner/judge.go
+++ b/internal/process/quarantiner/judge.go
@@ -237,7 +237,7 @@
 	return ok && now.Sub(struck) < t.limits.Suspicion
 }
 
-// remember notes the newest time of an event and drops those that no rumour can
+// remember notes the newest time of an event and drops those that no rumor can
 // be about any more.
 func remember[K comparable](events map[K]time.Time, key K, at, now time.Time, limits Limits) {
 	if len(events) >= limits.Entries {
--- a/internal/process/quarantiner/table.go
+++ b/internal/process/quarantiner/table.go
@@ -49,7 +49,7 @@
 	// quarantine since.
 	jail map[Fingerprint]*entry
 	// cleared holds when a request was last answered whole, and struck which
-	// losses were taken back: rumours of them go on for some time and count no more.
+	// losses were taken back: rumors of them go on for some time and count no more.
 	cleared map[Fingerprint]time.Time
 	struck  map[loss]time.Time
 	// convictions and reprieves count changes of state.
@@ -111,16 +111,16 @@
 }
 
 // Lost records that the connection broke after the request was sent and before
-// its whole answer came. It returns the rumour for the peers.
-func (t *Table) Lost(s Service, f Fingerprint, r Run, now time.Time) Rumour {
+// its whole answer came. It returns the rumor for the peers.
+func (t *Table) Lost(s Service, f Fingerprint, r Run, now time.Time) Rumor {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.accuse(s, f, r, now, now)
-	return Rumour{Service: s, Fingerprint: f, Run: r}
+	return Rumor{Service: s, Fingerprint: f, Run: r}
 }
 
 // Hear records what a peer told.
-func (t *Table) Hear(r Rumour, now time.Time) {
+func (t *Table) Hear(r Rumor, now time.Time) {
 	if r.Age < 0 || r.Age >= t.limits.Suspicion {
 		return
 	}
@@ -156,18 +156,18 @@
 }
 
 // Answered records the whole answer to a request: it does not crash targets. It
-// returns the rumour for the peers if the request was a suspect.
-func (t *Table) Answered(s Service, f Fingerprint, now time.Time) (Rumour, bool) {
+// returns the rumor for the peers if the request was a suspect.
+func (t *Table) Answered(s Service, f Fingerprint, now time.Time) (Rumor, bool) {
 	if t.size.Load() == 0 {
-		return Rumour{}, false
+		return Rumor{}, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.live(f, now) == nil {
-		return Rumour{}, false
+		return Rumor{}, false
 	}
 	t.clear(f, now, now)
-	return Rumour{Service: s, Fingerprint: f, Cleared: true}, true
+	return Rumor{Service: s, Fingerprint: f, Cleared: true}, true
 }
 
 // Stats describes a table.
--- a/internal/process/server/callers.go
+++ b/internal/process/server/callers.go
@@ -114,7 +114,7 @@
 		if errors.As(err, &large) {
 			return nil, handler.Reject(handler.CauseSize, operation)
 		}
-		return nil, handler.Reject(handler.CauseCancelled, operation)
+		return nil, handler.Reject(handler.CauseCanceled, operation)
 	}
 	_ = w.SetReadDeadline(time.Time{})
 	return handler.NewRequest(p, q.Method, path, q.Header, body, now), nil
--- a/internal/process/tracker/judge.go
+++ b/internal/process/tracker/judge.go
@@ -106,8 +106,8 @@
 	return e.set(v.State, now)
 }
 
-// told takes in a peer's rumour and reports whether it was new.
-func (e *entry) told(r Rumour, now time.Time) bool {
+// told takes in a peer's rumor and reports whether it was new.
+func (e *entry) told(r Rumor, now time.Time) bool {
 	if e.hasLeft(r.Start) {
 		return false
 	}
--- a/internal/process/tracker/target.go
+++ b/internal/process/tracker/target.go
@@ -82,8 +82,8 @@
 	Sent time.Time
 }
 
-// Rumour tells peers that a run is leaving.
-type Rumour struct {
+// Rumor tells peers that a run is leaving.
+type Rumor struct {
 	Key   Key
 	Start string
 	// Age is the time since the first sign at the instance that tells.
@@ -108,7 +108,7 @@
 const (
 	// maxLeft is the number of ended runs remembered for one address.
 	maxLeft = 32
-	// maxUnlisted bounds the targets that are known by rumour only.
+	// maxUnlisted bounds the targets that are known by rumor only.
 	maxUnlisted = 1024
 )
 
--- a/internal/process/tracker/tracker.go
+++ b/internal/process/tracker/tracker.go
@@ -31,19 +31,19 @@
 }
 
 // List takes in a revision of the platform's list.
-func (t *Tracker) List(l *lister.List, now time.Time) []Rumour {
+func (t *Tracker) List(l *lister.List, now time.Time) []Rumor {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.read && l.Revision <= t.revision {
 		return nil
 	}
-	var told []Rumour
+	var told []Rumor
 	named := make(map[Key]bool, len(l.Targets))
 	for _, target := range l.Targets {
 		k := Key{Place: target.Place, Service: target.Service, Address: target.Address}
 		named[k] = true
 		if t.name(k, target, now) {
-			told = append(told, t.rumour(t.entries[k], now))
+			told = append(told, t.rumor(t.entries[k], now))
 		}
 	}
 	t.omit(named, now)
@@ -53,7 +53,7 @@
 }
 
 // Observe takes in what a target itself said.
-func (t *Tracker) Observe(v Evidence, now time.Time) []Rumour {
+func (t *Tracker) Observe(v Evidence, now time.Time) []Rumor {
 	if known := t.current.Load().views[v.Key]; known != nil && known.repeats(v) {
 		hear(known.heard, v.Sent)
 		return nil
@@ -77,12 +77,12 @@
 	if !began {
 		return nil
 	}
-	return []Rumour{t.rumour(e, now)}
+	return []Rumor{t.rumor(e, now)}
 }
 
 // Hear takes in what a peer told. It reports whether that was new, so that it
 // can be passed on.
-func (t *Tracker) Hear(r Rumour, now time.Time) bool {
+func (t *Tracker) Hear(r Rumor, now time.Time) bool {
 	if r.Age < 0 {
 		return false
 	}
@@ -104,13 +104,13 @@
 }
 
 // Leaving returns all leaving runs, for a peer that has just started.
-func (t *Tracker) Leaving(now time.Time) []Rumour {
+func (t *Tracker) Leaving(now time.Time) []Rumor {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var all []Rumour
+	var all []Rumor
 	for _, e := range t.entries {
 		if e.state == Draining {
-			all = append(all, t.rumour(e, now))
+			all = append(all, t.rumor(e, now))
 		}
 	}
 	return all
@@ -119,8 +119,8 @@
 // Ignored returns how often something was said about an ended run.
 func (t *Tracker) Ignored() int64 { return t.ignored.Load() }
 
-func (t *Tracker) rumour(e *entry, now time.Time) Rumour {
-	return Rumour{Key: e.key, Start: e.start, Age: max(0, now.Sub(e.signed))}
+func (t *Tracker) rumor(e *entry, now time.Time) Rumor {
+	return Rumor{Key: e.key, Start: e.start, Age: max(0, now.Sub(e.signed))}
 }
 
 func (t *Tracker) listed() int {
--- a/internal/request/handler/handler.go
+++ b/internal/request/handler/handler.go
@@ -29,7 +29,7 @@
 	// Observe reports what the headers of a target's answer say of the target.
 	Observe func(r *Request, target netip.AddrPort, h http.Header, sent, now time.Time)
 	// Tell spreads a loss to the peers.
-	Tell func(u quarantiner.Rumour)
+	Tell func(u quarantiner.Rumor)
 	// Account adds one attempt to the costs.
 	Account func(r *Request, a Attempt)
 	// Clock returns the present time.
@@ -59,8 +59,8 @@
 	Latency time.Duration
 	// Sent and Received are body bytes.
 	Sent, Received int
-	// Cancelled means that the instance itself gave the attempt up.
-	Cancelled bool
+	// Canceled means that the instance itself gave the attempt up.
+	Canceled bool
 }
 
 // Handle carries a request to its outcome. The context ends with the caller's
--- a/internal/request/handler/outcome.go
+++ b/internal/request/handler/outcome.go
@@ -37,7 +37,7 @@
 	CauseDropped    Cause = "dropped"
 	CauseUnreached  Cause = "unreached"
 	CauseQuarantine Cause = "quarantine"
-	CauseCancelled  Cause = "cancelled"
+	CauseCanceled   Cause = "canceled"
 	CausePaused     Cause = "paused"
 )
 
@@ -76,7 +76,7 @@
 	{Cause: CauseUnreached, Status: http.StatusBadGateway, Text: "the executor of the operation is out of reach", Retry: retryLate},
 	{Cause: CauseQuarantine, Status: http.StatusUnprocessableEntity, Text: "the request broke the targets that ran it", Final: true},
 	{Cause: CausePaused, Status: http.StatusServiceUnavailable, Text: "the instance has been paused and is asking its peers what has changed", Retry: retrySoon},
-	{Cause: CauseCancelled, Status: http.StatusGatewayTimeout, Text: "the caller went away", Retry: retrySoon},
+	{Cause: CauseCanceled, Status: http.StatusGatewayTimeout, Text: "the caller went away", Retry: retrySoon},
 }
 
 // records holds the records by cause.
--- a/internal/request/handler/race.go
+++ b/internal/request/handler/race.go
@@ -128,7 +128,7 @@
 	queuer.Displaced: CauseBusy,
 	queuer.Overdue:   CauseBusy,
 	queuer.Late:      CauseDeadline,
-	queuer.Withdrawn: CauseCancelled,
+	queuer.Withdrawn: CauseCanceled,
 }
 
 // ended makes the outcome of a request without an answer.
@@ -179,13 +179,13 @@
 	answer, effect, err := h.Send(ctx, lease.Target, m)
 	now := h.Clock()
 	a := Attempt{
-		Role:      role,
-		Target:    lease.Target,
-		Effect:    effect,
-		Answer:    answer,
-		Latency:   now.Sub(begun),
-		Sent:      len(r.Body),
-		Cancelled: err != nil && ctx.Err() != nil,
+		Role:     role,
+		Target:   lease.Target,
+		Effect:   effect,
+		Answer:   answer,
+		Latency:  now.Sub(begun),
+		Sent:     len(r.Body),
+		Canceled: err != nil && ctx.Err() != nil,
 	}
 	if answer != nil {
 		a.Received = len(answer.Body)
@@ -212,7 +212,7 @@
 		if told, ok := h.Quarantine.Answered(r.service(), r.fingerprint, now); ok {
 			h.Tell(told)
 		}
-	case a.Effect == sender.Lost && !a.Cancelled:
+	case a.Effect == sender.Lost && !a.Canceled:
 		h.Tell(h.Quarantine.Lost(r.service(), r.fingerprint, run, now))
 	}
 }
@@ -226,15 +226,15 @@
 	}
 	if d.Kind == retrier.Lost && h.Quarantine.Suspect(r.fingerprint, now) {
 		// A request that is suspected of crashing targets says nothing of theirs.
-		d.Kind = retrier.Cancelled
+		d.Kind = retrier.Canceled
 	}
 	return d
 }
 
 func ending(a Attempt) retrier.Ending {
 	switch {
-	case a.Cancelled:
-		return retrier.Cancelled
+	case a.Canceled:
+		return retrier.Canceled
 	case a.Effect == sender.Disowned:
 		return retrier.Shed
 	case a.Effect == sender.Lost:
@@ -363,7 +363,7 @@
 	return &Outcome{Kind: Done, Status: a.Status, Header: a.Header, Body: a.Body}
 }
 
-// expire waits for the cancelled attempts, which end at once, so that the
+// expire waits for the canceled attempts, which end at once, so that the
 // outcome says what is really known.
 func (c *race) expire(ctx context.Context) *Outcome {
 	for ; c.running > 0; c.running-- {
@@ -374,7 +374,7 @@
 		c.lost = c.lost || a.Effect == sender.Lost
 	}
 	if context.Cause(ctx) == context.Canceled {
-		return c.ended(CauseCancelled, 0)
+		return c.ended(CauseCanceled, 0)
 	}
 	return c.ended(CauseDeadline, 0)
 }
--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -17,15 +17,15 @@
 	Failed
 	// Shed means that the target said that it did not run the request.
 	Shed
-	// Cancelled means that the try was given up by this side.
-	Cancelled
+	// Canceled means that the try was given up by this side.
+	Canceled
 	// Lost means that the connection broke after something was sent.
 	Lost
 	// Unsent means that nothing was sent, as after a refused connection.
 	Unsent
 )
 
-var endingNames = [...]string{"done", "failed", "shed", "cancelled", "lost", "unsent"}
+var endingNames = [...]string{"done", "failed", "shed", "canceled", "lost", "unsent"}
 
 // String returns the ending in words.
 func (e Ending) String() string { return endingNames[e] }
@@ -58,7 +58,7 @@
 // Retry decides whether a request may be tried again after tries that ended so,
 // and when. It takes a token if so.
 func (r *Retrier) Retry(p *resolver.Policy, ending Ending, tries int, deadline, now time.Time) (bool, time.Duration) {
-	if ending == Done || ending == Cancelled || (p.Once && !ending.NotRun()) {
+	if ending == Done || ending == Canceled || (p.Once && !ending.NotRun()) {
 		return false, 0
 	}
 	after := Backoff << min(max(0, tries-1), maxDoublings)
--- a/internal/standin/recorder/event.go
+++ b/internal/standin/recorder/event.go
@@ -35,7 +35,7 @@
 	// Request is the caller's Request-Id, Operation the id of a once kind.
 	Request   string `json:"request,omitempty"`
 	Operation string `json:"operation,omitempty"`
-	// Cause tells how a run ended: done, cancelled, late, failed.
+	// Cause tells how a run ended: done, canceled, late, failed.
 	Cause string `json:"cause,omitempty"`
 }
 
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -222,7 +222,7 @@
 	}
 	e.Type, e.Cause = recorder.End, "done"
 	if err := w.hold(ctx, w.duration(e.Kind, time.Now())); err != nil {
-		e.Cause = "cancelled"
+		e.Cause = "canceled"
 		if ctx.Err() == context.DeadlineExceeded {
 			e.Cause = "late"
 		}
--- a/internal/version/parser/records.go
+++ b/internal/version/parser/records.go
@@ -95,7 +95,7 @@
 	{
 		Name: "timeout", Levels: serviceLevels, Default: "250ms", Least: "1ms", Most: "30s", Example: "100ms", form: durationForm,
 		Title: "Longest time for one probe and for opening one connection.",
-		Text:  "A probe that takes longer is cancelled; it counts as sent.",
+		Text:  "A probe that takes longer is canceled; it counts as sent.",
 		field: number(func(p *resolver.Policy) *time.Duration { return &p.Timeout }),
 	},
 	{
