Hold no member in a state that has no name

Cause: a state beyond the known ones, as another version or a faulty peer may send, was held, passed on and then indexed the names and counters of states, which ends the process: one such word could have ended the whole fleet. Before: TestUnknownStateIsNotHeld held 3 members; after: 2.

--- a/internal/process/detector/believe.go
+++ b/internal/process/detector/believe.go
@@ -87,7 +87,7 @@
 		d.refute(m)
 		return
 	}
-	if m.Incarnation == 0 || !address.IsValid() || d.HasEnded(m.Instance.Peer, m.Incarnation) {
+	if m.State > Ended || m.Incarnation == 0 || !address.IsValid() || d.HasEnded(m.Instance.Peer, m.Incarnation) {
 		return
 	}
 	if m.State == Ended {
--- a/internal/process/detector/detector_test.go
+++ b/internal/process/detector/detector_test.go
@@ -12,6 +12,8 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 	"github.com/sebdah/goldie/v2"
+
+	"oriolecourse.example/oriolecourse/internal/version/lister"
 )
 
 // grown returns a fleet whose instances know each other; its log is empty.
@@ -270,3 +272,18 @@
 		t.Error("the check passes a rule by which the answer to an older ping ends the held incarnation")
 	}
 }
+
+// TestUnknownStateIsNotHeld hears of a member in a state that only other versions
+// have: it has no name and must not be passed on.
+func TestUnknownStateIsNotHeld(t *testing.T) {
+	member := func(port uint16, s State) Member {
+		peer := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+		return Member{Instance: lister.Instance{Peer: peer}, Incarnation: 1, State: s}
+	}
+	now := time.Unix(1000, 0)
+	d := New(Options{Self: member(1, Alive), Period: time.Second, Random: rand.New(rand.NewSource(1)).Uint64}, now)
+	d.Receive(Packet{Type: Ping, From: member(2, Alive), Updates: []Member{member(3, Alive), member(4, Ended+1)}}, now)
+	if n := len(d.Members()); n != 2 {
+		t.Errorf("%d members are held, not 2", n)
+	}
+}
