Do not pass on an operation whose time is over

Cause: the time left of an operation whose deadline had just passed was sent as 0 or less, which the executor reads as no deadline: it ran with the full one of the settings, after its caller was told that it is unknown. Before: TestOverdueOperationIsNotSent saw it executed; after: it does not leave.

--- a/internal/process/relayer/forward.go
+++ b/internal/process/relayer/forward.go
@@ -22,6 +22,10 @@
 	}
 	if deadline, set := ctx.Deadline(); set {
 		o.Left = time.Until(deadline)
+		if o.Left <= 0 {
+			// Sent without time left it would count as one without a deadline.
+			return Outcome{}, &ForwardError{Peer: peer, Failure: Unsent, Cause: context.DeadlineExceeded}
+		}
 	}
 	q, err := l.ask(kindOperation, &o)
 	if err != nil && !trace.IsLimitExceeded(err) {
--- a/internal/process/relayer/forward_test.go
+++ b/internal/process/relayer/forward_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"sync"
 	"testing"
+	"time"
 
 	"oriolecourse.example/oriolecourse/internal/connection/framer"
 )
@@ -145,3 +146,19 @@
 		t.Error(err)
 	}
 }
+
+func TestOverdueOperationIsNotSent(t *testing.T) {
+	nodes := startFleet(t, 2, testPeriod)
+	o := Operation{Incarnation: nodes[1].options.Incarnation}
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now())
+	defer cancel()
+	for _, c := range []context.Context{t.Context(), ctx, t.Context()} {
+		_, err := nodes[0].Forward(c, nodes[1].options.Self.Peer, o)
+		if late := c == ctx; late != (err != nil) || late && failureOf(t, err) != Unsent {
+			t.Errorf("late %v: %v", late, err)
+		}
+	}
+	if n := nodes[1].executed.Load(); n != 2 {
+		t.Errorf("%d operations were executed, not 2", n)
+	}
+}
