Measure control traffic over a whole telling of the rates

Cause: the window of 20 s saw a part of the rates only, which are told every 40 s, so that the growth with the fleet came out too high (1.9 KB/s at 16 instances, 5.6 KB/s at 96).

--- a/internal/process/relayer/scale_test.go
+++ b/internal/process/relayer/scale_test.go
@@ -31,7 +31,10 @@
 const (
 	// scaleServices is the number of services of a place whose rates are told.
 	scaleServices = 42
-	scaleWindow   = 20 * time.Second
+	// scaleTelling is the time after which a rate is told again.
+	scaleTelling = 40 * time.Second
+	// scaleWindow covers one telling of each rate.
+	scaleWindow = scaleTelling
 	// scaleSettle is the time in which the news of the joins is sent out.
 	scaleSettle = time.Minute
 	scaleText   = 200 << 10
@@ -123,7 +126,7 @@
 		for i := range n.Services {
 			r.Spread(Rumor{Topic: Load, Place: n.Place, Service: fmt.Sprint("service", i), Instance: n.Peer, Rate: 100}, time.Now())
 		}
-		time.Sleep(40 * time.Second)
+		time.Sleep(scaleTelling)
 	}
 }
 
