Do not call an operation final that only its executor can settle

Cause: unknown and final tells callers that nobody will run the operation; an instance that turns it away before the executor has seen it cannot know that.

--- a/internal/process/assembler/peers.go
+++ b/internal/process/assembler/peers.go
@@ -96,7 +96,7 @@
 	service, kind, path := handler.Route(o.Path)
 	p := s.Policy(i.options.Place, service, kind)
 	if p == nil {
-		return handler.Doubt(handler.CauseName, 0)
+		return handler.Reject(handler.CauseName, o.Header.Get(handler.HeaderOperation))
 	}
 	if !p.Once {
 		once := *p
--- a/internal/process/server/callers_test.go
+++ b/internal/process/server/callers_test.go
@@ -48,5 +48,6 @@
 		c.Router().ServeHTTP(w, q)
 		require.Equal(t, test.status, w.Code, test)
 		require.Equal(t, string(test.outcome), w.Header().Get(handler.HeaderOutcome), test)
+		require.Equal(t, test.outcome == handler.Unrun, w.Header().Get(handler.HeaderFinal) != "", test)
 	}
 }
--- a/internal/request/handler/outcome.go
+++ b/internal/request/handler/outcome.go
@@ -120,10 +120,12 @@
 // whether an earlier sending of it has run. Only the executor can say of an
 // operation that it did not.
 func Reject(c Cause, operation string) *Outcome {
-	if operation != "" {
-		return Doubt(c, 0)
+	if operation == "" {
+		return Refuse(c, 0)
 	}
-	return Refuse(c, 0)
+	o := Doubt(c, retryLate)
+	o.Final = false
+	return o
 }
 
 func outcome(k Kind, c Cause, retry time.Duration) *Outcome {
