Make the ranking of ways a verb of the stand-ins

It used only the dispatcher's public functions. Change: package ranker and the verb standin rank; no test or check was dropped.

--- a/internal/standin/commander/command.go
+++ b/internal/standin/commander/command.go
@@ -32,7 +32,7 @@
 		PersistentPreRunE: func(c *cobra.Command, _ []string) error { return fromEnvironment(c.Flags()) },
 	}
 	root.AddCommand(platformCommand(), targetCommand(), recorderCommand(),
-		loadCommand(), judgeCommand(), sendCommand(), compareCommand(), stretchCommand())
+		loadCommand(), judgeCommand(), sendCommand(), compareCommand(), stretchCommand(), rankCommand())
 	return root
 }
 
--- a/internal/process/dispatcher/ways_test.go
+++ b/internal/standin/ranker/ways.go
@@ -1,9 +1,10 @@
-package dispatcher
+package ranker
 
 import (
 	"fmt"
 	"time"
 
+	"oriolecourse.example/oriolecourse/internal/process/dispatcher"
 	"oriolecourse.example/oriolecourse/internal/version/resolver"
 )
 
@@ -21,7 +22,7 @@
 			arrived, home := w.now, w.random.Intn(homes)
 			w.after(callerDelay, func() {
 				index, sent := pick(home), w.now
-				w.servers[index].send(&try{ended: func(Report) {
+				w.servers[index].send(&try{ended: func(dispatcher.Report) {
 					ended(home, index, w.now-sent)
 					w.latencies[p] = append(w.latencies[p], w.now+callerDelay-arrived)
 				}}, home)
--- a/internal/process/dispatcher/world_test.go
+++ b/internal/standin/ranker/world.go
@@ -1,4 +1,4 @@
-package dispatcher
+package ranker
 
 import (
 	"container/heap"
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"oriolecourse.example/oriolecourse/internal/process/dispatcher"
 	"oriolecourse.example/oriolecourse/internal/version/resolver"
 )
 
@@ -79,7 +80,7 @@
 	server *server
 	gone   bool
 	// ended is called when the answer is back at the instance.
-	ended func(Report)
+	ended func(dispatcher.Report)
 }
 
 func newWorld(seed int64, mix []resolver.Priority, length time.Duration) *world {
@@ -180,7 +181,7 @@
 func (s *server) send(t *try, instance int) {
 	t.server, t.work = s, s.world.exponential(meanWork)
 	answered := t.ended
-	t.ended = func(r Report) { s.world.after(s.delay(instance), func() { answered(r) }) }
+	t.ended = func(r dispatcher.Report) { s.world.after(s.delay(instance), func() { answered(r) }) }
 	s.world.after(s.delay(instance), func() {
 		s.queue = append(s.queue, t)
 		s.next()
@@ -201,7 +202,7 @@
 		return
 	}
 	s.drop(t)
-	t.ended(Report{Running: len(s.running), Queued: len(s.queue), Slots: worldSlots})
+	t.ended(dispatcher.Report{Running: len(s.running), Queued: len(s.queue), Slots: worldSlots})
 }
 
 // drop frees what a try holds at its server.
