--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -444,7 +444,7 @@
 # measure_work measures the processor time of instances by the rate of calls.
 measure_work() {
   local rate before bytes k
-  INSTANCES=4
+  local INSTANCES=4
   for ((k = 0; k < 32; k++)); do start_target "$k" "$PLACE" parts --slots 2 --mean 8ms; done
   for ((k = 0; k < 32; k++)); do await "$(target_address "$k")/health"; done
   start_fleet "$INSTANCES" ""
@@ -471,7 +471,7 @@
 # measure_path compares the way through an instance with the direct one.
 measure_path() {
   local k
-  INSTANCES=3
+  local INSTANCES=3
   start_target 0 "$PLACE" parts --mean 2ms --sigma 0
   await "$(target_address 0)/health"
   start_fleet "$INSTANCES" ""
