--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -190,9 +190,13 @@
   end_fleet
 }
 
-# start_targets N starts N targets of the service parts with 32 ms of work.
+# start_targets N starts an empty record and N targets of the service parts with
+# 32 ms of work.
 start_targets() {
   local i
+  end recorder KILL
+  start recorder "$BIN/standin" recorder --address "$recorder"
+  await "$recorder/record"
   for ((i = 0; i < $1; i++)); do start_target "$i" "$PLACE" parts --slots 2 --mean 32ms; done
   for ((i = 0; i < $1; i++)); do await "$(target_address "$i")/health"; done
 }
@@ -272,7 +276,6 @@
     done
     summary "out of answers after $signal" <"$OUT/$signal.out"
   done
-  send GET "$recorder/record" >/dev/null
   "$BIN/standin" judge --record "http://$recorder" "$OUT"/KILL*.json "$OUT"/STOP*.json || true
   end_fleet
   end_targets 12
