--- a/internal/process/steerer/plan.go
+++ b/internal/process/steerer/plan.go
@@ -189,6 +189,10 @@
 // active returns the homes that take calls now; a suspect is among them only
 // when all are suspect.
 func (h *homes) active() []home {
+	first := h.ordered[:min(max(h.service.Active, 1), len(h.ordered))]
+	if !slices.ContainsFunc(first, func(o home) bool { return o.member.State != detector.Alive }) {
+		return slices.Clip(first)
+	}
 	sound := h.sound()
 	alive := slices.IndexFunc(sound, func(o home) bool { return o.member.State != detector.Alive })
 	if alive > 0 {
