--- a/internal/standin/loader/loader.go
+++ b/internal/standin/loader/loader.go
@@ -206,7 +206,9 @@
 	case a.Outcome == Unrun && a.executor != "":
 		t.caller.learn(address, a.executor)
 		t.operation, t.exposed = a.executor+"/"+base(a.ID), false
-		return 0
+		if a.Status == http.StatusConflict {
+			return 0
+		}
 	case a.Outcome == Unknown || a.Status == http.StatusServiceUnavailable:
 		t.advance()
 	}
--- a/internal/standin/loader/loader_test.go
+++ b/internal/standin/loader/loader_test.go
@@ -205,3 +205,18 @@
 	second := c.serve(context.Background(), Mix{Service: "s", Kind: "k"}, "r", time.Now())
 	require.Len(t, second.Attempts, 1, "the next one begins with the instance that answers")
 }
+
+func TestCallerComesBackWhenToldDespiteFreshExecutor(t *testing.T) {
+	const told = 200 * time.Millisecond
+	i := newInstance(t, func(w http.ResponseWriter, id string, n int) {
+		if n == 1 {
+			reply(w, 429, "unrun", "", "Oriole-Executor", "e2", "Oriole-Retry", told.String())
+			return
+		}
+		whole(w, id)
+	})
+	c := newCaller(Settings{Instances: []netip.AddrPort{address(i.Server)}, Attempts: 4, Patience: 20 * time.Second}, 1, &atomic.Int64{})
+	r := c.serve(context.Background(), Mix{Service: "s", Kind: "k", Once: true}, "q", time.Now())
+	require.Equal(t, Done, r.Outcome)
+	require.GreaterOrEqual(t, r.Latency, told)
+}
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -190,13 +190,18 @@
   end_fleet
 }
 
+# renew_recorder starts an empty record.
+renew_recorder() {
+  end recorder KILL
+  start recorder "$BIN/standin" recorder --address "$recorder"
+  await "$recorder/record"
+}
+
 # start_targets N starts an empty record and N targets of the service parts with
 # 32 ms of work.
 start_targets() {
   local i
-  end recorder KILL
-  start recorder "$BIN/standin" recorder --address "$recorder"
-  await "$recorder/record"
+  renew_recorder
   for ((i = 0; i < $1; i++)); do start_target "$i" "$PLACE" parts --slots 2 --mean 32ms; done
   for ((i = 0; i < $1; i++)); do await "$(target_address "$i")/health"; done
 }
@@ -448,6 +453,7 @@
 measure_work() {
   local rate before bytes k
   local INSTANCES=4
+  STANDIN_BRIEF=true renew_recorder
   for ((k = 0; k < 32; k++)); do start_target "$k" "$PLACE" parts --slots 2 --mean 8ms; done
   for ((k = 0; k < 32; k++)); do await "$(target_address "$k")/health"; done
   start_fleet "$INSTANCES" ""
