Give each test process a loopback address of its own

Cause: TestOutcomeCheckRejectsKilledExecutor failed in make test, since an instance could not listen: the port that was free a moment ago had gone to an outgoing connection of another test. Ruled out: the test's own processes. Change: ports below the system's outgoing ones, on an address that the process number gives.

--- a/internal/standin/starter/process.go
+++ b/internal/standin/starter/process.go
@@ -3,12 +3,12 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -140,17 +140,30 @@
 // signal.
 func (p *Process) ExitCode() int { return p.command.ProcessState.ExitCode() }
 
-// Ports returns n loopback addresses that were free a moment ago.
+// The loopback addresses of the processes that one test process starts. Each test
+// process has an address of its own, and the ports lie below those that the system
+// gives to outgoing connections, so that nobody else takes them in between.
+const (
+	firstPort = 10000
+	lastPort  = 30000
+	octets    = 250
+)
+
+// taken counts the ports that have been given out.
+var taken atomic.Uint32
+
+// Ports returns n loopback addresses that nobody else uses.
 func Ports(t testing.TB, n int) []netip.AddrPort {
 	t.Helper()
+	pid := os.Getpid()
+	host := netip.AddrFrom4([4]byte{127, byte(1 + pid/octets%octets), byte(1 + pid%octets), 1})
 	addresses := make([]netip.AddrPort, n)
 	for i := range addresses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
+		port := firstPort + taken.Add(1)
+		if port > lastPort {
+			t.Fatal("all ports of the test process have been given out")
 		}
-		defer func() { _ = l.Close() }()
-		addresses[i] = netip.MustParseAddrPort(l.Addr().String())
+		addresses[i] = netip.AddrPortFrom(host, uint16(port))
 	}
 	return addresses
 }
