Put into force only what has changed

Cause: each refresh configured every service anew, computed its owners and shared its connections, and the probe loop looked at services whose homes are elsewhere; together 65 % of an idle profile. Ruled out: a longer period alone; it delays what comes with time. Change: a service is configured when its plan, settings or usable targets differ or a held target's time has run out; only active homes look for targets to probe.

--- a/internal/process/assembler/answers.go
+++ b/internal/process/assembler/answers.go
@@ -68,15 +68,21 @@
 	return v.scaler.Active(own+i.loads.Rate(p.Place, p.Service, now), p.Rate, now)
 }
 
-// owned tells which targets of a service this instance owns.
-func (i *Instance) owned(plan *steerer.Plan, p *resolver.Policy, usable []tracker.Target) func(netip.AddrPort) bool {
-	if i.options.Spread {
-		return func(netip.AddrPort) bool { return true }
-	}
+// owned returns the targets of a service that this instance owns.
+func (i *Instance) owned(plan *steerer.Plan, p *resolver.Policy, usable []tracker.Target) map[netip.AddrPort]bool {
 	targets := make([]netip.AddrPort, len(usable))
 	for n, t := range usable {
 		targets[n] = t.Address
 	}
-	owners := steerer.Owners(plan.Homes(p.Place, p.Service), targets)
-	return func(target netip.AddrPort) bool { return owners[target] == i.options.Peer }
+	homes := plan.Homes(p.Place, p.Service)
+	if i.options.Spread {
+		homes = []netip.AddrPort{i.options.Peer}
+	}
+	found := map[netip.AddrPort]bool{}
+	for target, owner := range steerer.Owners(homes, targets) {
+		if owner == i.options.Peer {
+			found[target] = true
+		}
+	}
+	return found
 }
--- a/internal/process/assembler/probes.go
+++ b/internal/process/assembler/probes.go
@@ -74,7 +74,7 @@
 	maps.DeleteFunc(p.next, func(k tracker.Service, _ time.Time) bool { return services[k] == nil })
 	for k, v := range services {
 		policy := s.Service(k.Place, k.Service)
-		if policy == nil || policy.Probes == 0 || now.Before(p.next[k]) {
+		if policy == nil || policy.Probes == 0 || !v.home.Load() || now.Before(p.next[k]) {
 			continue
 		}
 		claim, wait := v.prober.Next(now, p.candidates(k, v.dispatcher.Snapshot(now), now))
--- a/internal/process/assembler/refresher.go
+++ b/internal/process/assembler/refresher.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"oriolecourse.example/oriolecourse/internal/process/executor"
@@ -37,7 +38,7 @@
 		return
 	}
 	plan := i.planner.build(i, s, now)
-	homes := map[netip.AddrPort]tracker.Service{}
+	changed := false
 	l := limits(nil)
 	for key, p := range s.Services {
 		if key.Place != i.options.Place {
@@ -45,21 +46,36 @@
 		}
 		usable := i.tracker.Usable(key.Place, key.Service, now)
 		v := i.services.get(key.Place, key.Service, now)
-		owned := v.hold(i.owned(plan, p, usable), usable, settleTime+p.Keep, now)
-		v.configure(p, usable, owned, now)
-		for _, t := range usable {
-			i.sender.Share(t.Address, p.Connections/p.Fleet)
-			homes[t.Address] = tracker.Service{Place: key.Place, Service: key.Service}
-		}
+		v.home.Store(slices.Contains(plan.Homes(key.Place, key.Service), i.options.Peer))
+		owned := func() map[netip.AddrPort]bool { return i.owned(plan, p, usable) }
+		changed = v.update(plan, p, usable, owned, now) || changed
 		l = longest(l, p)
 	}
+	if changed {
+		i.connect(s)
+	}
 	i.services.retain(s, now)
-	i.homes.Store(&homes)
-	i.sender.Retain(func(target netip.AddrPort) bool { _, used := homes[target]; return used })
 	i.table.Configure(l, now)
 	i.plan.Store(plan)
 }
 
+// connect shares the connections to the targets in use and closes the others.
+func (i *Instance) connect(s *resolver.Snapshot) {
+	homes := map[netip.AddrPort]tracker.Service{}
+	for k, v := range i.services.all() {
+		p := s.Service(k.Place, k.Service)
+		if p == nil || k.Place != i.options.Place {
+			continue
+		}
+		for _, t := range v.usable {
+			i.sender.Share(t.Address, p.Connections/p.Fleet)
+			homes[t.Address] = k
+		}
+	}
+	i.homes.Store(&homes)
+	i.sender.Retain(func(target netip.AddrPort) bool { _, used := homes[target]; return used })
+}
+
 // longest raises the bounds of the executor to those of a service, since one
 // table serves all of them.
 func longest(l executor.Limits, p *resolver.Policy) executor.Limits {
--- a/internal/process/assembler/services.go
+++ b/internal/process/assembler/services.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,9 +21,17 @@
 	prober     *prober.Prober
 	// meter measures the requests that this instance takes.
 	meter steerer.Meter
-	// held tells until when this instance owns targets, also those that it has
-	// given up; the refresher owns it.
-	held map[netip.AddrPort]time.Time
+	// home tells that this instance is an active home of the service, and so the
+	// one that probes its targets, also while none of them is usable.
+	home atomic.Bool
+	// plan, policy and usable are what was put into force last, owned the targets
+	// that this instance owned by it, and held until when it keeps those that it
+	// has given up. The refresher owns them.
+	plan   *steerer.Plan
+	policy *resolver.Policy
+	usable []tracker.Target
+	owned  map[netip.AddrPort]bool
+	held   map[netip.AddrPort]time.Time
 	// scaler decides how many homes are active; the refresher owns it.
 	scaler steerer.Scaler
 	// removed is when the settings were first found without the service, zero
@@ -96,30 +105,47 @@
 	return *s.current.Load()
 }
 
-// hold keeps the targets that this instance owns for as long as callers may keep
-// the answers that led them here. Otherwise a home that gives up targets would
-// have to refuse the calls that still come.
-func (s *service) hold(owned func(netip.AddrPort) bool, usable []tracker.Target, keep time.Duration, now time.Time) func(netip.AddrPort) bool {
-	for _, t := range usable {
-		if owned(t.Address) {
-			s.held[t.Address] = now.Add(keep)
+// update puts a plan, settings and targets into force and reports whether there
+// was anything new.
+func (s *service) update(plan *steerer.Plan, p *resolver.Policy, usable []tracker.Target, owned func() map[netip.AddrPort]bool, now time.Time) bool {
+	before := len(s.held)
+	maps.DeleteFunc(s.held, func(_ netip.AddrPort, until time.Time) bool { return !now.Before(until) })
+	if s.plan == plan && s.policy == p && slices.Equal(s.usable, usable) && len(s.held) == before {
+		return false
+	}
+	s.hold(owned(), now.Add(settleTime+p.Keep))
+	s.plan, s.policy, s.usable = plan, p, usable
+	s.configure(p, usable, now)
+	return true
+}
+
+// hold keeps the targets that this instance gives up for as long as callers may
+// keep the answers that led them here. Otherwise it would have to refuse the calls
+// that still come.
+func (s *service) hold(owned map[netip.AddrPort]bool, until time.Time) {
+	for target := range s.owned {
+		if !owned[target] {
+			s.held[target] = until
 		}
 	}
-	maps.DeleteFunc(s.held, func(_ netip.AddrPort, until time.Time) bool { return !now.Before(until) })
-	return func(target netip.AddrPort) bool { return now.Before(s.held[target]) }
+	for target := range owned {
+		delete(s.held, target)
+	}
+	s.owned = owned
 }
 
 // configure hands the settings and the usable targets to the parts of a service.
-func (s *service) configure(p *resolver.Policy, usable []tracker.Target, owned func(netip.AddrPort) bool, now time.Time) {
+func (s *service) configure(p *resolver.Policy, usable []tracker.Target, now time.Time) {
 	targets := make([]dispatcher.Target, 0, len(usable))
 	for _, t := range usable {
+		_, kept := s.held[t.Address]
 		targets = append(targets, dispatcher.Target{
 			Address: t.Address,
 			Zone:    t.Zone,
 			Start:   t.Start,
 			Since:   t.Since,
 			Warming: t.State == tracker.Warming,
-			Owned:   owned(t.Address),
+			Owned:   kept || s.owned[t.Address],
 		})
 	}
 	s.dispatcher.Configure(p, targets, now)
--- /dev/null
+++ b/internal/process/assembler/update_test.go
@@ -0,0 +1,41 @@
+package assembler
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"oriolecourse.example/oriolecourse/internal/process/steerer"
+	"oriolecourse.example/oriolecourse/internal/process/tracker"
+	"oriolecourse.example/oriolecourse/internal/version/resolver"
+)
+
+// TestUpdateHoldsTargetsThatAreGivenUp follows a target from one owner to another.
+func TestUpdateHoldsTargetsThatAreGivenUp(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v := newServices("a", "ours").get("p", "s", now)
+	target := netip.MustParseAddrPort("10.0.0.1:80")
+	usable := []tracker.Target{{Address: target}}
+	p := &resolver.Policy{Place: "p", Service: "s", Slots: 2, Connections: 10, Fleet: 2, Keep: 5 * time.Second}
+	first, second := &steerer.Plan{}, &steerer.Plan{}
+	update := func(plan *steerer.Plan, owner bool, after time.Duration) bool {
+		return v.update(plan, p, usable, func() map[netip.AddrPort]bool {
+			if owner {
+				return map[netip.AddrPort]bool{target: true}
+			}
+			return nil
+		}, now.Add(after))
+	}
+	owned := func(after time.Duration) bool { return v.dispatcher.Snapshot(now.Add(after)).Targets[0].Owned }
+
+	require.True(t, update(first, true, 0))
+	require.True(t, owned(0))
+	require.False(t, update(first, true, time.Minute), "nothing is new")
+	require.True(t, update(second, false, time.Minute))
+	require.True(t, owned(time.Minute), "callers still hold answers that lead here")
+	require.False(t, update(second, false, time.Minute+settleTime))
+	require.True(t, update(second, false, time.Minute+settleTime+p.Keep), "the answers have run out")
+	require.False(t, owned(time.Minute+settleTime+p.Keep))
+}
