--- a/internal/request/handler/handler.go
+++ b/internal/request/handler/handler.go
@@ -38,31 +38,6 @@
 	Tracer oteltrace.Tracer
 }
 
-// Role tells why an attempt was made.
-type Role string
-
-// The roles of attempts.
-const (
-	First  Role = "first"
-	Retry  Role = "retry"
-	Second Role = "second"
-)
-
-// Attempt is one sending of a request to a target.
-type Attempt struct {
-	Role   Role
-	Target netip.AddrPort
-	Effect sender.Effect
-	// Answer is nil unless the effect is Done or Disowned.
-	Answer *sender.Answer
-	// Latency is the time from the sending to the whole answer.
-	Latency time.Duration
-	// Sent and Received are body bytes.
-	Sent, Received int
-	// Canceled means that the instance itself gave the attempt up.
-	Canceled bool
-}
-
 // Handle carries a request to its outcome. The context ends with the caller's
 // connection; a request that may run only once goes on without the caller.
 func (h *Handler) Handle(ctx context.Context, r *Request) *Outcome {
--- a/internal/request/handler/race.go
+++ b/internal/request/handler/race.go
@@ -2,17 +2,11 @@
 
 import (
 	"context"
-	"net/http"
 	"net/netip"
 	"time"
 
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
-	oteltrace "go.opentelemetry.io/otel/trace"
-
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
 	"oriolecourse.example/oriolecourse/internal/process/dispatcher"
-	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
 	"oriolecourse.example/oriolecourse/internal/request/queuer"
 	"oriolecourse.example/oriolecourse/internal/request/retrier"
 )
@@ -20,9 +14,6 @@
 // attempts bounds the sendings of one request.
 const attempts = 3
 
-// propagator writes the standard trace header.
-var propagator = propagation.TraceContext{}
-
 // race is the life of one request: its attempts, of which the first whole
 // answer wins.
 type race struct {
@@ -163,95 +154,6 @@
 	go func() { c.results <- c.handler.attempt(ctx, c.request, lease, role) }()
 }
 
-// attempt sends the request once and releases the lease.
-func (h *Handler) attempt(ctx context.Context, r *Request, lease *dispatcher.Lease, role Role) Attempt {
-	begun := h.Clock()
-	// A crash is that of the run that got the request, which its follower may
-	// have replaced by the time the loss is known.
-	run := quarantiner.Run{Address: lease.Target, Start: h.Start(r, lease.Target)}
-	ctx, span := h.Tracer.Start(ctx, "send", oteltrace.WithSpanKind(oteltrace.SpanKindClient),
-		oteltrace.WithAttributes(
-			attribute.String("target", lease.Target.String()),
-			attribute.String("role", string(role))))
-	defer span.End()
-	m := r.message(begun)
-	propagator.Inject(ctx, propagation.HeaderCarrier(m.Header))
-	answer, effect, err := h.Send(ctx, lease.Target, m)
-	now := h.Clock()
-	a := Attempt{
-		Role:     role,
-		Target:   lease.Target,
-		Effect:   effect,
-		Answer:   answer,
-		Latency:  now.Sub(begun),
-		Sent:     len(r.Body),
-		Canceled: err != nil && ctx.Err() != nil,
-	}
-	if answer != nil {
-		a.Received = len(answer.Body)
-		h.Observe(r, lease.Target, answer.Header, begun, now)
-	}
-	lease.Release(h.result(r, a, now), now)
-	h.Account(r, a)
-	h.judge(r, a, run, begun, now)
-	return a
-}
-
-// judge reports to the quarantine how the target fared with the request.
-func (h *Handler) judge(r *Request, a Attempt, run quarantiner.Run, begun, now time.Time) {
-	switch {
-	case a.Answer != nil:
-		if start := a.Answer.Header.Get(HeaderStart); start != "" {
-			run.Start = start
-		}
-		h.Quarantine.Alive(run, begun, now)
-		// An answer that the request was shed says nothing of what it does.
-		if a.Effect != sender.Done {
-			return
-		}
-		if told, ok := h.Quarantine.Answered(r.service(), r.fingerprint, now); ok {
-			h.Tell(told)
-		}
-	case a.Effect == sender.Lost && !a.Canceled:
-		h.Tell(h.Quarantine.Lost(r.service(), r.fingerprint, run, now))
-	}
-}
-
-// result tells the dispatcher how an attempt ended.
-func (h *Handler) result(r *Request, a Attempt, now time.Time) dispatcher.Result {
-	d := dispatcher.Result{Latency: a.Latency, Kind: ending(a)}
-	if a.Answer != nil {
-		d.Report = dispatcher.ParseReport(a.Answer.Header.Get(HeaderReport))
-		d.State = a.Answer.Header.Get(HeaderState)
-	}
-	if d.Kind == retrier.Lost && h.Quarantine.Suspect(r.fingerprint, now) {
-		// A request that is suspected of crashing targets says nothing of theirs.
-		d.Kind = retrier.Canceled
-	}
-	return d
-}
-
-func ending(a Attempt) retrier.Ending {
-	switch {
-	case a.Canceled:
-		return retrier.Canceled
-	case a.Effect == sender.Disowned:
-		return retrier.Shed
-	case a.Effect == sender.Lost:
-		return retrier.Lost
-	case a.Effect == sender.Unsent:
-		return retrier.Unsent
-	case failed(a.Answer):
-		return retrier.Failed
-	}
-	return retrier.Done
-}
-
-// failed tells answers with which a target reports that it is itself at fault.
-func failed(a *sender.Answer) bool {
-	return a != nil && a.Status >= http.StatusInternalServerError
-}
-
 // settle returns the outcome if the attempt decides it, and else tries again
 // where that is safe.
 func (c *race) settle(ctx context.Context, a Attempt) *Outcome {
@@ -296,45 +198,6 @@
 	return c.begin(ctx, Retry)
 }
 
-// turnPause is the time between two attempts to get the turn of a suspect.
-const turnPause = 2 * time.Millisecond
-
-// enter waits until a request that is suspected of crashing targets may run
-// apart from all other suspects; others pass at once.
-func (c *race) enter(ctx context.Context) *Outcome {
-	for {
-		verdict, retry := c.handler.Quarantine.Enter(c.request.service(), c.request.fingerprint, c.handler.Clock())
-		switch verdict {
-		case quarantiner.Quarantined:
-			return Doubt(CauseQuarantine, retry)
-		case quarantiner.Apart:
-			c.alone = true
-			return nil
-		case quarantiner.Free:
-			return nil
-		}
-		if err := pause(ctx, turnPause); err != nil {
-			return c.expire(ctx)
-		}
-	}
-}
-
-// suspected ends a request that has had its turn as a suspect.
-func (c *race) suspected(a Attempt) *Outcome {
-	verdict, retry := c.handler.Quarantine.Enter(c.request.service(), c.request.fingerprint, c.handler.Clock())
-	if verdict == quarantiner.Quarantined {
-		return Doubt(CauseQuarantine, retry)
-	}
-	return c.ended(reason(a), 0)
-}
-
-// leave gives the turn of a suspect back.
-func (c *race) leave() {
-	if c.alone {
-		c.handler.Quarantine.Leave(c.request.service(), c.request.fingerprint)
-	}
-}
-
 // pause waits, or returns the error of a context that ends before.
 func pause(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
