Size the room at a target by the network's delay

Cause: in bursts ours drained more slowly than targets that hold the queue. Ruled out: the estimate of the wait (averaging it longer did not help), the spread over homes (one home had the same).

--- a/internal/version/parser/records.go
+++ b/internal/version/parser/records.go
@@ -65,7 +65,7 @@
 	{
 		Name: "spare", Levels: serviceLevels, Default: "1", Least: "0", Most: "1000", Example: "1", form: countForm,
 		Title: "Number of requests outstanding at a target beyond its slots.",
-		Text:  "One hides the network's delay between two requests. More moves the queue from the instance, where it is ordered, to the target, where it is not.",
+		Text:  "These hide the network's delay between two requests: take slots times the round trip to a target over its time for a request, rounded up, and one for uneven times. Fewer leave slots idle in a burst; more move the queue from the instance, where it is ordered, to the target, where it is not.",
 		field: number(func(p *resolver.Policy) *int { return &p.Spare }),
 	},
 	{
