--- a/internal/process/assembler/peers.go
+++ b/internal/process/assembler/peers.go
@@ -17,13 +17,11 @@
 	"oriolecourse.example/oriolecourse/internal/process/executor"
 	"oriolecourse.example/oriolecourse/internal/process/relayer"
 	"oriolecourse.example/oriolecourse/internal/process/server"
+	"oriolecourse.example/oriolecourse/internal/process/tracer"
 	"oriolecourse.example/oriolecourse/internal/request/handler"
 	"oriolecourse.example/oriolecourse/internal/version/lister"
 )
 
-// propagator reads and writes the standard trace header.
-var propagator = propagation.TraceContext{}
-
 // pathToken asks an instance for its executor's token.
 const pathToken = "/v1/token"
 
@@ -79,7 +77,7 @@
 	case pathLegacy:
 		return i.inherit(o, time.Now())
 	}
-	ctx = propagator.Extract(ctx, propagation.HeaderCarrier(o.Header))
+	ctx = tracer.Propagator.Extract(ctx, propagation.HeaderCarrier(o.Header))
 	ctx, span := i.options.Tracer.Start(ctx, "execute", oteltrace.WithSpanKind(oteltrace.SpanKindServer))
 	defer span.End()
 	m := i.run(ctx, o, time.Now()).Message()
@@ -126,7 +124,7 @@
 	ctx, span := i.options.Tracer.Start(ctx, "forward", oteltrace.WithSpanKind(oteltrace.SpanKindClient))
 	defer span.End()
 	o := operation(to.Incarnation, r)
-	propagator.Inject(ctx, propagation.HeaderCarrier(o.Header))
+	tracer.Propagator.Inject(ctx, propagation.HeaderCarrier(o.Header))
 	a, err := i.relayer.Forward(ctx, to.Peer, o)
 	if err == nil {
 		r.Passed = true
--- a/internal/process/server/callers.go
+++ b/internal/process/server/callers.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	oteltrace "go.opentelemetry.io/otel/trace"
 
+	"oriolecourse.example/oriolecourse/internal/process/tracer"
 	"oriolecourse.example/oriolecourse/internal/request/handler"
 	"oriolecourse.example/oriolecourse/internal/version/resolver"
 )
@@ -51,9 +52,6 @@
 	Tracer oteltrace.Tracer
 }
 
-// propagator reads the standard trace header.
-var propagator = propagation.TraceContext{}
-
 // Router returns the HTTP handler of the interface.
 func (c *Callers) Router() http.Handler {
 	e := echo.New()
@@ -83,7 +81,7 @@
 func (c *Callers) request(x echo.Context) error {
 	now := time.Now()
 	q := x.Request()
-	ctx := propagator.Extract(q.Context(), propagation.HeaderCarrier(q.Header))
+	ctx := tracer.Propagator.Extract(q.Context(), propagation.HeaderCarrier(q.Header))
 	ctx, span := c.Tracer.Start(ctx, "receive", oteltrace.WithSpanKind(oteltrace.SpanKindServer))
 	defer span.End()
 
--- a/internal/process/tracer/tracer.go
+++ b/internal/process/tracer/tracer.go
@@ -6,6 +6,7 @@
 
 	"github.com/gravitational/trace"
 	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
 	sdk "go.opentelemetry.io/otel/sdk/trace"
 	oteltrace "go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
@@ -20,6 +21,9 @@
 // name is the instrumentation scope of all spans.
 const name = "oriolecourse"
 
+// Propagator reads and writes the standard trace header.
+var Propagator = propagation.TraceContext{}
+
 // Tracer starts spans and exports them until it is closed.
 type Tracer struct {
 	oteltrace.Tracer
--- a/internal/request/handler/attempt.go
+++ b/internal/request/handler/attempt.go
@@ -13,12 +13,10 @@
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
 	"oriolecourse.example/oriolecourse/internal/process/dispatcher"
 	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
+	"oriolecourse.example/oriolecourse/internal/process/tracer"
 	"oriolecourse.example/oriolecourse/internal/request/retrier"
 )
 
-// propagator writes the standard trace header.
-var propagator = propagation.TraceContext{}
-
 // Role tells why an attempt was made.
 type Role string
 
@@ -56,7 +54,7 @@
 			attribute.String("role", string(role))))
 	defer span.End()
 	m := r.message(begun)
-	propagator.Inject(ctx, propagation.HeaderCarrier(m.Header))
+	tracer.Propagator.Inject(ctx, propagation.HeaderCarrier(m.Header))
 	answer, effect, err := h.Send(ctx, lease.Target, m)
 	now := h.Clock()
 	a := Attempt{
