--- a/cmd/oriolecourse/main.go
+++ b/cmd/oriolecourse/main.go
@@ -6,8 +6,9 @@
 	"os"
 
 	"oriolecourse.example/oriolecourse/internal/process/commander"
+	"oriolecourse.example/oriolecourse/platform"
 )
 
 func main() {
-	os.Exit(commander.Run(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(commander.Run(os.Args[1:], os.Stdout, os.Stderr, platform.NewCommand()))
 }
--- a/internal/process/commander/commander.go
+++ b/internal/process/commander/commander.go
@@ -17,9 +17,11 @@
 	exitFailed = 1
 )
 
-// Run executes the command with its arguments and returns the exit code.
-func Run(arguments []string, out, errors io.Writer) int {
+// Run executes the command with its arguments and returns the exit code. Further
+// verbs, such as those of adapters, stand beside the product's own.
+func Run(arguments []string, out, errors io.Writer, further ...*cobra.Command) int {
 	c := newRoot()
+	c.AddCommand(further...)
 	c.SetArgs(arguments)
 	c.SetOut(out)
 	c.SetErr(errors)
--- /dev/null
+++ b/internal/process/composer/composer.go
@@ -0,0 +1,267 @@
+package composer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/gravitational/trace"
+	"github.com/oklog/run"
+	"github.com/uber-go/tally/v4"
+
+	"oriolecourse.example/oriolecourse/internal/connection/acceptor"
+	"oriolecourse.example/oriolecourse/internal/connection/framer"
+	"oriolecourse.example/oriolecourse/internal/process/adopter"
+	"oriolecourse.example/oriolecourse/internal/process/detector"
+	"oriolecourse.example/oriolecourse/internal/process/director"
+	"oriolecourse.example/oriolecourse/internal/process/forwarder"
+	"oriolecourse.example/oriolecourse/internal/process/registrar"
+	"oriolecourse.example/oriolecourse/internal/process/relayer"
+	"oriolecourse.example/oriolecourse/internal/process/syncer"
+	"oriolecourse.example/oriolecourse/internal/version/lister"
+	"oriolecourse.example/oriolecourse/internal/version/router"
+)
+
+const (
+	// refreshEvery is the time between looks for runs whose time is over and for
+	// idle connections.
+	refreshEvery = 250 * time.Millisecond
+	// catchUp bounds the time in which a starting instance asks its peers.
+	catchUp = 500 * time.Millisecond
+	// trust is how long a starting instance waits for the platform, or for a peer
+	// that vouches, before it serves by documents of peers alone.
+	trust = 2500 * time.Millisecond
+	// memoryShare is the part of the memory that request bodies may use.
+	memoryShare = 0.25
+	// reservedFiles are descriptors that are not used for clients.
+	reservedFiles = 1000
+)
+
+// Source reads the platform's data and hands it over.
+type Source interface {
+	// Refresh reads everything anew.
+	Refresh(ctx context.Context) error
+	// Await waits for changes; without any it returns after the wait.
+	Await(ctx context.Context, wait time.Duration) error
+}
+
+// Options holds what an instance is built from.
+type Options struct {
+	// Front serves clients; Peer serves the other instances.
+	Front, Peer netip.AddrPort
+	Zone        string
+	// Seeds are peer addresses to try first; they may be stale.
+	Seeds   []netip.AddrPort
+	Keys    framer.Keys
+	Dialect forwarder.Dialect
+	Budget  forwarder.Budget
+	// Grace is the time between the order to stop and the kill.
+	Grace time.Duration
+	// Memory is in bytes, Files in descriptors.
+	Memory int64
+	Files  int
+	// Source makes the reader of the platform; it offers what it reads.
+	Source func(offer Offer) Source
+	// Pages are further HTTP handlers by address, such as those for the platform's
+	// own checks.
+	Pages  func(i *Instance) map[netip.AddrPort]http.Handler
+	Logger log.Logger
+	Scope  tally.Scope
+}
+
+// Offer takes in what was read from the platform.
+type Offer struct {
+	Table func(t *router.Table, now time.Time) error
+	List  func(l *registrar.List, now time.Time) error
+}
+
+// Instance is one running instance.
+type Instance struct {
+	options   Options
+	self      lister.Instance
+	tables    *adopter.Adopter[router.Table]
+	lists     *adopter.Adopter[registrar.List]
+	registrar *registrar.Registrar
+	forwarder *forwarder.Forwarder
+	relayer   *relayer.Relayer
+	syncer    *syncer.Syncer
+	acceptor  *acceptor.Acceptor
+	began     time.Time
+	leaving   atomic.Bool
+	// ready is set once and never taken back.
+	ready atomic.Bool
+	// fleet is the number of instances seen alive, this one included.
+	fleet atomic.Int64
+}
+
+// New returns an instance that has not started.
+func New(o Options) *Instance {
+	i := &Instance{options: o, began: time.Now()}
+	i.self = lister.Instance{Address: o.Front, Peer: o.Peer, Place: o.Zone, Zone: o.Zone, State: lister.Live}
+	i.fleet.Store(1)
+	i.tables = &adopter.Adopter[router.Table]{Check: checkTable, Change: i.tableChanged, Reject: i.rejected}
+	i.lists = &adopter.Adopter[registrar.List]{Check: checkList, Change: i.listChanged, Reject: i.rejected}
+	i.registrar = registrar.New(i.runChanged)
+	i.forwarder = forwarder.New(forwarder.Options{
+		Dialect: o.Dialect, Zone: o.Zone, Budget: o.Budget,
+		Table: i.tables.Current, Fleet: func() int { return int(i.fleet.Load()) },
+		Lost: i.spreadLoss, Left: i.targetLeft, Logger: o.Logger, Scope: o.Scope,
+	})
+	i.relayer = relayer.New(relayer.Options{
+		Self: i.self, Incarnation: rand.Uint64() | 1, Seeds: o.Seeds,
+		Keys:      func() framer.Keys { return o.Keys },
+		Documents: i.document, Offer: i.offered, Rumor: i.hear, Vouched: i.vouched, Members: i.membersChanged,
+		Logger: o.Logger, Scope: o.Scope,
+	})
+	source := o.Source(Offer{Table: i.offerTable, List: i.offerList})
+	i.syncer = &syncer.Syncer{
+		Self: o.Peer, Refresh: source.Refresh, Await: source.Await,
+		Before: i.before, Vouch: func(time.Time) { i.relayer.Vouch() }, Logger: o.Logger,
+	}
+	i.syncer.Prepare()
+	i.acceptor = &acceptor.Acceptor{
+		Handle: i.forwarder.Serve, Limits: i.limits,
+		Memory:      int64(memoryShare * float64(o.Memory)),
+		Connections: max(o.Files-reservedFiles, o.Files/2),
+		Failed:      i.clientFailed,
+	}
+	i.acceptor.Prepare()
+	return i
+}
+
+// Run runs the instance until it has been told to stop and has left.
+func (i *Instance) Run(ctx context.Context) error {
+	_ = level.Info(i.options.Logger).Log("msg", "started", "front", i.options.Front, "peer", i.options.Peer, "zone", i.options.Zone)
+	l, err := net.Listen("tcp4", i.options.Front.String())
+	if err != nil {
+		return trace.Wrap(err, "listening for clients on %s", i.options.Front)
+	}
+	var g run.Group
+	g.Add(i.relayer.Run, func(error) { i.relayer.Stop() })
+	g.Add(i.syncer.Run, func(error) { i.syncer.Stop() })
+	for address, handler := range i.options.Pages(i) {
+		if err := addPage(&g, address, handler); err != nil {
+			return err
+		}
+	}
+	i.addLoop(&g, i.refresh)
+	i.addLoop(&g, i.enter)
+	i.addLife(ctx, &g, l)
+	err = g.Run()
+	_ = level.Info(i.options.Logger).Log("msg", "stopped", "err", err)
+	return trace.Wrap(err)
+}
+
+// addLoop adds a part that runs until its context ends.
+func (i *Instance) addLoop(g *run.Group, loop func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
+}
+
+func addPage(g *run.Group, address netip.AddrPort, h http.Handler) error {
+	l, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		return trace.Wrap(err, "listening on %s", address)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second, IdleTimeout: 10 * time.Second}
+	g.Add(func() error { return s.Serve(l) }, func(error) { s.Close() })
+	return nil
+}
+
+// enter makes the instance ready once its documents can be relied on.
+func (i *Instance) enter(ctx context.Context) error {
+	asked, cancel := context.WithTimeout(ctx, catchUp)
+	reached := i.relayer.Catchup(asked, nil)
+	cancel()
+	_ = level.Info(i.options.Logger).Log("msg", "peers asked", "reached", reached)
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for !i.settled(time.Now()) {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	i.ready.Store(true)
+	_ = level.Info(i.options.Logger).Log("msg", "ready", "after", time.Since(i.began),
+		"settings", i.tables.Stamp(), "targets", i.lists.Stamp())
+	<-ctx.Done()
+	return nil
+}
+
+// settled reports whether the documents are known to be current, or as current
+// as can be had while the platform is out of reach.
+func (i *Instance) settled(now time.Time) bool {
+	if i.tables.Current() == nil || i.lists.Current() == nil {
+		return false
+	}
+	return !i.syncer.Current().IsZero() || now.Sub(i.began) > trust
+}
+
+// Ready reports whether the instance takes clients.
+func (i *Instance) Ready() bool { return i.ready.Load() && !i.leaving.Load() }
+
+// Addresses returns the addresses that a client of a zone is told.
+func (i *Instance) Addresses(zone string) []netip.AddrPort {
+	return director.Choose(zone, i.self, i.Ready(), i.relayer.Members(), rand.IntN)
+}
+
+// refresh ends what has lasted long enough.
+func (i *Instance) refresh(ctx context.Context) error {
+	ticker := time.NewTicker(refreshEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			if i.registrar.Expire(now) {
+				i.forwarder.SetTargets(i.registrar.Usable(), now)
+			}
+			i.forwarder.Sweep(now)
+		}
+	}
+}
+
+// before returns the live instances of the zone that read before this one.
+func (i *Instance) before() []netip.AddrPort {
+	var all []netip.AddrPort
+	for _, m := range i.relayer.Members() {
+		if m.State == detector.Alive && m.Instance.Zone == i.self.Zone && m.Instance.Peer.Compare(i.self.Peer) < 0 {
+			all = append(all, m.Instance.Peer)
+		}
+	}
+	return all
+}
+
+func (i *Instance) limits() acceptor.Limits {
+	t := i.tables.Current()
+	if t == nil {
+		return defaultLimits
+	}
+	return acceptor.Limits{Header: t.Limits.Header, Body: t.Limits.Body, Read: t.Limits.Read, Idle: t.Limits.Idle}
+}
+
+// defaultLimits hold until the first settings are known.
+var defaultLimits = acceptor.Limits{Header: 16 << 10, Body: 1 << 20, Read: 3 * time.Second, Idle: 15 * time.Second}
+
+func (i *Instance) clientFailed(remote string, status int, cause error) {
+	_ = level.Warn(i.options.Logger).Log("msg", "client failed", "client", remote, "status", status, "err", cause)
+}
+
+// Reload puts settings of the process in force that may change while it runs.
+func (i *Instance) Reload(seeds []netip.AddrPort, b forwarder.Budget, now time.Time) {
+	l := &lister.List{}
+	for _, a := range seeds {
+		l.Instances = append(l.Instances, lister.Instance{Peer: a})
+	}
+	i.relayer.Seed(l, now)
+	i.forwarder.SetBudget(b)
+}
--- /dev/null
+++ b/internal/process/composer/documents.go
@@ -0,0 +1,99 @@
+package composer
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/gravitational/trace"
+
+	"oriolecourse.example/oriolecourse/internal/process/adopter"
+	"oriolecourse.example/oriolecourse/internal/process/registrar"
+	"oriolecourse.example/oriolecourse/internal/process/relayer"
+	"oriolecourse.example/oriolecourse/internal/version/router"
+)
+
+func checkTable(text []byte) (*router.Table, uint64, error) {
+	t, err := router.Decode(text)
+	if err != nil {
+		return nil, 0, err
+	}
+	return t, t.Version, nil
+}
+
+func checkList(text []byte) (*registrar.List, uint64, error) {
+	l, err := registrar.Decode(text)
+	if err != nil {
+		return nil, 0, err
+	}
+	return l, l.Revision, nil
+}
+
+// document returns the document in force for the other instances.
+func (i *Instance) document(k relayer.Kind) (version, digest uint64, text []byte) {
+	var s adopter.Stamp
+	switch k {
+	case relayer.Settings:
+		text, s = i.tables.Text()
+	case relayer.List:
+		text, s = i.lists.Text()
+	}
+	return s.Version, s.Digest, text
+}
+
+// offered takes in a document of a peer and reports whether it came into force.
+func (i *Instance) offered(k relayer.Kind, text []byte, now time.Time) bool {
+	switch k {
+	case relayer.Settings:
+		return i.tables.Offer(text, 0, 0, now) == adopter.Accepted
+	case relayer.List:
+		return i.lists.Offer(text, 0, 0, now) == adopter.Accepted
+	}
+	return false
+}
+
+// offerTable takes in settings that were read from the platform.
+func (i *Instance) offerTable(t *router.Table, now time.Time) error {
+	text, err := t.Encode()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return i.announce(i.tables.Offer(text, 0, 0, now))
+}
+
+// offerList takes in a list that was read from the platform.
+func (i *Instance) offerList(l *registrar.List, now time.Time) error {
+	text, err := l.Encode()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return i.announce(i.lists.Offer(text, 0, 0, now))
+}
+
+func (i *Instance) announce(v adopter.Verdict) error {
+	switch v {
+	case adopter.Accepted:
+		i.relayer.Announce()
+	case adopter.Rejected:
+		return trace.BadParameter("a document of the platform was rejected")
+	}
+	return nil
+}
+
+func (i *Instance) tableChanged(t *router.Table, s adopter.Stamp, _ time.Time) {
+	_ = level.Info(i.options.Logger).Log("msg", "settings in force", "version", s, "routes", len(t.Routes), "services", len(t.Services))
+}
+
+func (i *Instance) listChanged(l *registrar.List, s adopter.Stamp, now time.Time) {
+	_ = level.Info(i.options.Logger).Log("msg", "targets listed", "version", s, "runs", len(l.Runs), "unsettled", l.Unsettled)
+	i.registrar.Adopt(l, now)
+	i.forwarder.SetTargets(i.registrar.Usable(), now)
+}
+
+func (i *Instance) rejected(r adopter.Rejection) {
+	_ = level.Error(i.options.Logger).Log("msg", "document rejected", "version", r.Stamp, "err", r.Reason)
+}
+
+func (i *Instance) runChanged(c registrar.Change) {
+	_ = level.Info(i.options.Logger).Log("msg", "target changed", "target", c.Run.Key(), "service", c.Run.Service,
+		"address", c.Run.Address, "zone", c.Run.Zone, "state", c.State, "before", c.Before, "new", c.New, "cause", c.Cause)
+}
--- /dev/null
+++ b/internal/process/composer/life.go
@@ -0,0 +1,62 @@
+package composer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/oklog/run"
+)
+
+const (
+	// acceptShare is the part of the grace in which new connections and requests
+	// are still taken, for clients that hold an answer that names this instance.
+	acceptShare = 0.5
+	// exitMargin is kept free before the kill.
+	exitMargin = 200 * time.Millisecond
+	// busyEvery is the time between two looks whether requests are under way.
+	busyEvery = 20 * time.Millisecond
+)
+
+// addLife adds the part that accepts clients and, once the context ends, leaves.
+func (i *Instance) addLife(ctx context.Context, g *run.Group, l net.Listener) {
+	stop := make(chan struct{})
+	g.Add(func() error {
+		err := i.acceptor.Run(l)
+		// The other parts run on while the last requests end.
+		<-stop
+		return err
+	}, func(error) { l.Close() })
+	g.Add(func() error {
+		select {
+		case <-ctx.Done():
+			i.leave(l)
+		case <-stop:
+		}
+		i.acceptor.Stop()
+		return nil
+	}, func(error) { close(stop) })
+}
+
+// leave ends the instance's work within the grace: it is no longer named to
+// clients, serves those that come all the same and asks them to reconnect
+// elsewhere, and ends once nothing is under way.
+func (i *Instance) leave(l net.Listener) {
+	began := time.Now()
+	_ = level.Info(i.options.Logger).Log("msg", "stopping", "busy", i.acceptor.Busy(), "connections", i.acceptor.Open())
+	i.leaving.Store(true)
+	i.relayer.Leave(began)
+	i.acceptor.Leave()
+	last := began.Add(i.options.Grace - exitMargin)
+	time.Sleep(time.Duration(acceptShare * float64(i.options.Grace)))
+	l.Close()
+	i.acceptor.Idle()
+	for i.acceptor.Busy() > 0 && time.Now().Before(last) {
+		time.Sleep(busyEvery)
+	}
+	// The last answers are read before the connections end.
+	time.Sleep(busyEvery)
+	i.relayer.Farewell(time.Now())
+	_ = level.Info(i.options.Logger).Log("msg", "left", "after", time.Since(began), "busy", i.acceptor.Busy())
+}
--- /dev/null
+++ b/internal/process/composer/peers.go
@@ -0,0 +1,66 @@
+package composer
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"oriolecourse.example/oriolecourse/internal/process/detector"
+	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
+	"oriolecourse.example/oriolecourse/internal/process/relayer"
+)
+
+// vouched takes in that a peer's documents are current.
+func (i *Instance) vouched(peer netip.AddrPort, now time.Time) { i.syncer.Vouched(peer, now) }
+
+// membersChanged counts the fleet. Members that failed a moment ago count until
+// they are forgotten: they may run on behind a cut and use their shares of the
+// fleet's budgets.
+func (i *Instance) membersChanged(members []detector.Member, _ []detector.Change) {
+	n := 1
+	for _, m := range members {
+		if m.State != detector.Ended {
+			n++
+		}
+	}
+	i.fleet.Store(int64(n))
+}
+
+// spreadLoss tells the other instances that a request was lost with a target.
+func (i *Instance) spreadLoss(r quarantiner.Rumor, now time.Time) {
+	o := relayer.Rumor{
+		Topic: relayer.Loss, Service: r.Service.Service, Target: r.Run.Address, Start: r.Run.Start,
+		Fingerprint: uint64(r.Fingerprint),
+	}
+	if r.Cleared {
+		o.Topic = relayer.Cleared
+	}
+	i.relayer.Spread(o, now)
+}
+
+// targetLeft takes in that another target answered at a run's address.
+func (i *Instance) targetLeft(key string, now time.Time) {
+	i.registrar.Leave(key, "another target answered at its address", now)
+	i.forwarder.SetTargets(i.registrar.Usable(), now)
+	i.relayer.Spread(relayer.Rumor{Topic: relayer.Draining, Start: key}, now)
+}
+
+// hear takes in what other instances tell.
+func (i *Instance) hear(r relayer.Rumor, now time.Time) {
+	switch r.Topic {
+	case relayer.Draining:
+		i.registrar.Leave(r.Start, "a peer", now)
+		i.forwarder.SetTargets(i.registrar.Usable(), now)
+	case relayer.Loss, relayer.Cleared:
+		i.forwarder.Hear(quarantiner.Rumor{
+			Service:     quarantiner.Service{Service: r.Service},
+			Fingerprint: quarantiner.Fingerprint(r.Fingerprint),
+			Run:         quarantiner.Run{Address: r.Target, Start: r.Start},
+			Cleared:     r.Topic == relayer.Cleared,
+			Age:         r.Age(),
+		}, now)
+	default:
+		_ = level.Debug(i.options.Logger).Log("msg", "rumor ignored", "topic", r.Topic)
+	}
+}
--- /dev/null
+++ b/internal/process/forwarder/forwarder.go
@@ -0,0 +1,161 @@
+package forwarder
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
+
+	"oriolecourse.example/oriolecourse/internal/connection/exchanger"
+	"oriolecourse.example/oriolecourse/internal/connection/sender"
+	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
+	"oriolecourse.example/oriolecourse/internal/process/registrar"
+	"oriolecourse.example/oriolecourse/internal/request/budgeter"
+	"oriolecourse.example/oriolecourse/internal/request/placer"
+	"oriolecourse.example/oriolecourse/internal/version/router"
+)
+
+// Dialect holds what clients and targets call things.
+type Dialect struct {
+	// ID names the header field with the identifier of a request. Targets repeat it.
+	ID string
+	// Deadline names the field with the milliseconds that a client waits.
+	Deadline string
+	// Target names the field that makes any other target turn a request away.
+	Target string
+	// Return names the field that tells a client when to come back, in seconds.
+	Return string
+	// Disowned reports whether an answer says that the target did not run the request.
+	Disowned func(a *sender.Answer) bool
+	// Name returns the identifier of the target that gave an answer; empty if it
+	// tells none.
+	Name func(h http.Header) string
+	// Load reads the load that a target reports.
+	Load func(h http.Header) (placer.Load, bool)
+}
+
+// Budget holds the fleet's bounds on what is added to the clients' requests.
+type Budget struct {
+	// Ratio, Allowance and Window bound attempts beyond the first.
+	Ratio     float64
+	Allowance float64
+	Window    time.Duration
+	// Probes is the number of probes per target and second.
+	Probes float64
+}
+
+// Options holds what a forwarder is built from.
+type Options struct {
+	Dialect Dialect
+	// Zone is the availability zone of the instance.
+	Zone   string
+	Budget Budget
+	// Table returns the routing table in force, or nil.
+	Table func() *router.Table
+	// Fleet returns the number of live instances, this one included.
+	Fleet func() int
+	// Lost tells the other instances that a request was lost with a target, or
+	// that it was answered after all.
+	Lost func(r quarantiner.Rumor, now time.Time)
+	// Left tells that a target with another name answered at a run's address.
+	Left   func(key string, now time.Time)
+	Logger log.Logger
+	Scope  tally.Scope
+}
+
+// Forwarder carries requests. Its methods may be called concurrently.
+type Forwarder struct {
+	options     Options
+	exchanger   *exchanger.Exchanger
+	quarantiner *quarantiner.Table
+	splitter    *router.Splitter
+	counters    counters
+
+	// budget guards retries and probes.
+	budget sync.Mutex
+	// probes is the number of probes per target and second of the whole fleet.
+	probes  float64
+	retries budgeter.Retries
+
+	mutex    sync.Mutex
+	services map[string]*service
+}
+
+// New returns a forwarder that knows no targets.
+func New(o Options) *Forwarder {
+	f := &Forwarder{
+		options:     o,
+		exchanger:   exchanger.New(),
+		quarantiner: quarantiner.New(quarantiner.DefaultLimits),
+		splitter:    router.NewSplitter(rand.IntN),
+		counters:    newCounters(o.Scope),
+		retries:     budgeter.Retries{Ratio: o.Budget.Ratio, Allowance: o.Budget.Allowance, Window: o.Budget.Window},
+		probes:      o.Budget.Probes,
+		services:    map[string]*service{},
+	}
+	f.exchanger.Opened = func(netip.AddrPort) { f.counters.connections.Inc(1) }
+	return f
+}
+
+// SetTargets replaces the runs that may get new requests, by service.
+func (f *Forwarder) SetTargets(usable map[string][]registrar.Usable, now time.Time) {
+	f.mutex.Lock()
+	names := map[string]bool{}
+	for name := range f.services {
+		names[name] = true
+	}
+	for name := range usable {
+		names[name] = true
+	}
+	f.mutex.Unlock()
+	for name := range names {
+		f.service(name).setTargets(usable[name], now)
+	}
+}
+
+// Hear takes in what a peer told of a lost request.
+func (f *Forwarder) Hear(r quarantiner.Rumor, now time.Time) { f.quarantiner.Hear(r, now) }
+
+// Sweep closes connections that have been idle for too long.
+func (f *Forwarder) Sweep(now time.Time) { f.exchanger.Sweep(now) }
+
+func (f *Forwarder) service(name string) *service {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	s := f.services[name]
+	if s == nil {
+		s = newService(f, name)
+		f.services[name] = s
+	}
+	return s
+}
+
+// again grants one more attempt.
+func (f *Forwarder) again(now time.Time) bool {
+	f.budget.Lock()
+	defer f.budget.Unlock()
+	return f.retries.Take(now, f.options.Fleet())
+}
+
+func (f *Forwarder) count(now time.Time) {
+	f.budget.Lock()
+	defer f.budget.Unlock()
+	f.retries.Request(now)
+}
+
+// SetBudget puts other bounds in force. What was used under the old ones counts.
+func (f *Forwarder) SetBudget(b Budget) {
+	f.budget.Lock()
+	defer f.budget.Unlock()
+	f.retries.Ratio, f.retries.Allowance, f.probes = b.Ratio, b.Allowance, b.Probes
+}
+
+func (f *Forwarder) probeRate() float64 {
+	f.budget.Lock()
+	defer f.budget.Unlock()
+	return f.probes
+}
--- /dev/null
+++ b/internal/process/registrar/list.go
@@ -0,0 +1,58 @@
+package registrar
+
+import (
+	"encoding/json"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Run is one run of a target's process as the platform lists it.
+type Run struct {
+	// Name is the identifier that the target gives itself.
+	Name string `json:"name"`
+	// Born is when the run started, in milliseconds of Unix time; 0 when unknown. A
+	// target that starts again may keep its name.
+	Born    int64          `json:"born,omitzero"`
+	Service string         `json:"service"`
+	Address netip.AddrPort `json:"address"`
+	Zone    string         `json:"zone"`
+	Slots   int            `json:"slots"`
+	Leaving bool           `json:"leaving,omitzero"`
+	// Cold is how much longer the run was slow when its entry was read.
+	Cold time.Duration `json:"cold,omitzero"`
+}
+
+// Key names the run among all runs.
+func (r *Run) Key() string { return r.Name + "/" + strconv.FormatInt(r.Born, 10) }
+
+// List is one revision of the platform's list of targets.
+type List struct {
+	// Revision orders lists; it is greater than 0.
+	Revision uint64 `json:"revision"`
+	// Unsettled lists were made right after an outage of the platform: entries of
+	// live targets may be missing.
+	Unsettled bool `json:"unsettled,omitzero"`
+	// Runs is sorted by name.
+	Runs []Run `json:"runs"`
+}
+
+// Encode writes a list for the other instances.
+func (l *List) Encode() ([]byte, error) {
+	text, err := json.Marshal(l)
+	return text, trace.Wrap(err)
+}
+
+// Decode reads what Encode has written.
+func Decode(text []byte) (*List, error) {
+	l := &List{}
+	if err := json.Unmarshal(text, l); err != nil {
+		return nil, trace.Wrap(err, "the list of targets is not valid JSON")
+	}
+	if l.Revision == 0 {
+		return nil, trace.BadParameter("the list of targets has no revision")
+	}
+	return l, nil
+}
--- a/internal/process/relayer/relayer.go
+++ b/internal/process/relayer/relayer.go
@@ -49,6 +49,9 @@
 	// Rumor is called once for each rumor that other instances spread; it must
 	// not block.
 	Rumor func(r Rumor, now time.Time)
+	// Vouched is called when a peer of the same place tells that its documents are
+	// current; nil ignores it.
+	Vouched func(peer netip.AddrPort, now time.Time)
 	// Execute runs an operation that was forwarded to this incarnation. The
 	// context ends when the asking instance gives up or goes away.
 	Execute func(ctx context.Context, o Operation) Outcome
--- a/internal/process/relayer/wire.go
+++ b/internal/process/relayer/wire.go
@@ -19,6 +19,7 @@
 	kindOperation
 	kindOutcome
 	kindCancel
+	kindVouch
 	messageKinds
 )
 
@@ -34,6 +35,7 @@
 	kindOperation: "operation",
 	kindOutcome:   "outcome",
 	kindCancel:    "cancel",
+	kindVouch:     "vouch",
 }
 
 // handler takes a received message. An error is a message that makes no sense.
@@ -53,6 +55,7 @@
 		kindOperation: r.handleOperation,
 		kindOutcome:   handleAnswer,
 		kindCancel:    handleCancel,
+		kindVouch:     r.handleVouch,
 	}
 }
 
--- /dev/null
+++ b/internal/process/syncer/syncer.go
@@ -0,0 +1,151 @@
+package syncer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// callTimeout bounds a call, or what remains of it after the wait.
+	callTimeout = 800 * time.Millisecond
+	// oldest is the age up to which a copy is brought up to date by its changes
+	// and not read anew; the platform keeps its history longer.
+	oldest = 5 * time.Second
+)
+
+// Syncer reads from the platform when it is the instance's turn. Its fields are
+// set before Run.
+type Syncer struct {
+	Self netip.AddrPort
+	// Refresh reads everything anew.
+	Refresh func(ctx context.Context) error
+	// Await waits for changes since the last read and takes them in; without any it
+	// returns after the wait.
+	Await func(ctx context.Context, wait time.Duration) error
+	// Before returns the live instances of the zone that come before this one.
+	Before func() []netip.AddrPort
+	// Vouch tells the zone that this copy is current.
+	Vouch  func(now time.Time)
+	Logger log.Logger
+
+	mutex sync.Mutex
+	turn  Turn
+	// current is when the copy was last known to be current.
+	current time.Time
+	kick    chan struct{}
+	cancel  context.CancelFunc
+	context context.Context
+	done    chan struct{}
+}
+
+// Prepare readies the syncer for Run and Stop, which may then be called in any
+// order.
+func (s *Syncer) Prepare() {
+	s.turn = Turn{Self: s.Self, Random: rand.Float64}
+	s.kick = make(chan struct{}, 1)
+	s.done = make(chan struct{})
+	s.context, s.cancel = context.WithCancel(context.Background())
+}
+
+// Vouched takes in that a peer's copy is current.
+func (s *Syncer) Vouched(peer netip.AddrPort, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.turn.Vouched(peer, now)
+	s.current = now
+}
+
+// Current returns when the copy was last known to be current; zero is never.
+func (s *Syncer) Current() time.Time {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.current
+}
+
+// Stop ends Run. Done tells when it has ended.
+func (s *Syncer) Stop() { s.cancel() }
+
+// Done is closed when Run has returned.
+func (s *Syncer) Done() <-chan struct{} { return s.done }
+
+// Run reads until Stop.
+func (s *Syncer) Run() error {
+	defer close(s.done)
+	reading, lost := false, false
+	var read time.Time
+	for s.context.Err() == nil {
+		now := time.Now()
+		due, again := s.due(now)
+		if due != reading {
+			reading = due
+			_ = level.Info(s.Logger).Log("msg", "reader changed", "reading", reading)
+		}
+		if !due {
+			s.sleep(again.Sub(now))
+			continue
+		}
+		err := s.call(now.Sub(read) > oldest)
+		if s.context.Err() != nil {
+			return nil
+		}
+		now = time.Now()
+		s.finish(err != nil, now)
+		if err == nil {
+			read = now
+			s.Vouch(now)
+		}
+		if (err != nil) != lost {
+			lost = err != nil
+			s.note(lost, err)
+		}
+	}
+	return nil
+}
+
+func (s *Syncer) due(now time.Time) (bool, time.Time) {
+	before := s.Before()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.turn.Due(now, before)
+}
+
+func (s *Syncer) finish(failed bool, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.turn.Finish(failed, now)
+	if !failed {
+		s.current = now
+	}
+}
+
+func (s *Syncer) call(anew bool) error {
+	ctx, cancel := context.WithTimeout(s.context, Wait+callTimeout)
+	defer cancel()
+	if anew {
+		return s.Refresh(ctx)
+	}
+	return s.Await(ctx, Wait)
+}
+
+func (s *Syncer) note(lost bool, err error) {
+	if lost {
+		_ = level.Warn(s.Logger).Log("msg", "platform lost", "err", err)
+		return
+	}
+	_ = level.Info(s.Logger).Log("msg", "platform back")
+}
+
+func (s *Syncer) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.context.Done():
+	}
+}
--- /dev/null
+++ b/internal/request/budgeter/probes.go
@@ -0,0 +1,33 @@
+package budgeter
+
+import "time"
+
+const (
+	// probeBurst is the time whose probes may be saved up: load at its worst lasts
+	// several seconds, and the bound holds over much longer ones.
+	probeBurst = 4 * time.Second
+	// probeStart is the part of the burst that a new process may use at once.
+	probeStart = 0.5
+)
+
+// Probes grants probes at an instance's share of the fleet's rate.
+type Probes struct {
+	tokens float64
+	filled time.Time
+}
+
+// Take grants up to n probes and returns how many. The rate is what the whole
+// fleet may send to all targets together per second; fleet instances share it.
+func (p *Probes) Take(n int, rate float64, fleet int, now time.Time) int {
+	share := safety * rate / float64(max(fleet, 1))
+	most := share * probeBurst.Seconds()
+	if p.filled.IsZero() {
+		p.tokens = most * probeStart
+	} else {
+		p.tokens = min(most, p.tokens+share*now.Sub(p.filled).Seconds())
+	}
+	p.filled = now
+	granted := min(n, int(p.tokens))
+	p.tokens -= float64(granted)
+	return granted
+}
--- /dev/null
+++ b/internal/request/placer/placer.go
@@ -0,0 +1,196 @@
+package placer
+
+import (
+	"slices"
+	"time"
+)
+
+// Timing of the choice.
+const (
+	// Fresh is the age up to which a report is chosen by. Speeds change every
+	// tenth of a second or so.
+	Fresh = 6 * time.Millisecond
+	// stale is the age up to which a report is chosen by when no probe may be sent.
+	stale = 500 * time.Millisecond
+	// Patience is how long a probe is waited for.
+	Patience = 30 * time.Millisecond
+	// poll is the time between two rounds of probes while requests wait.
+	poll = 12 * time.Millisecond
+	// fan is the number of targets that a round asks in the own zone, and as many
+	// elsewhere.
+	fan = 6
+	// homeRounds is the number of rounds after which targets of other zones are
+	// asked too: bytes between zones cost more than a short wait.
+	homeRounds = 2
+	// excellent is the factor up to which a target is taken without waiting for
+	// the other answers of its round.
+	excellent = 1.2
+	// margin is how much longer than expected a request may take that is counted
+	// on to meet its objective.
+	margin = 1.25
+	// guess is the share of the objective that work is taken to need before any
+	// request of a kind was measured.
+	guess = 0.4
+	// workMemory is the weight of the newest request in the time of work of a kind.
+	workMemory = 0.1
+	// priorityStep is the advantage in waiting of one rank over the next; a bounded
+	// one, so that the less urgent are not starved.
+	priorityStep = 200 * time.Millisecond
+	// rateWindow is the time over which starts are counted to foresee the wait.
+	rateWindow = time.Second
+	// foreseen is the least number of waiting requests from which the wait is
+	// foreseen by the rate of starts.
+	foreseen = 4
+	// returnLeast bounds Refusal.Return from below.
+	returnLeast = 50 * time.Millisecond
+	// targetlessReturn is Refusal.Return without targets: about the time in which
+	// news of targets arrive.
+	targetlessReturn = 300 * time.Millisecond
+)
+
+// Placer places the requests of one service. It is not safe for concurrent use.
+type Placer struct {
+	// Zone is the availability zone of the instance.
+	Zone string
+	// Random returns a number from 0 up to 1.
+	Random func() float64
+	// Allow grants up to n probes and returns how many.
+	Allow func(n int, now time.Time) int
+
+	targets map[string]*state
+	// order holds the identifiers of targets, sorted.
+	order   []string
+	waiting []*Ticket
+	// work holds the time of work of each kind at usual speed.
+	work map[string]time.Duration
+	// round is when the last probes were sent.
+	round time.Time
+	// blind means that the last round was not allowed.
+	blind bool
+	// starts holds the times of the grants within rateWindow.
+	starts []time.Time
+}
+
+// New returns a placer without targets.
+func New(zone string, random func() float64, allow func(n int, now time.Time) int) *Placer {
+	return &Placer{
+		Zone: zone, Random: random, Allow: allow,
+		targets: map[string]*state{}, work: map[string]time.Duration{},
+	}
+}
+
+// SetTargets replaces the targets that may get new requests. What is known of
+// those that stay is kept.
+func (p *Placer) SetTargets(targets []Target) {
+	next := make(map[string]*state, len(targets))
+	p.order = p.order[:0]
+	for _, t := range targets {
+		s := p.targets[t.ID]
+		if s == nil {
+			s = newState(t)
+		}
+		if !s.tells {
+			s.Slots = max(t.Slots, 1)
+		}
+		s.Zone, s.Address = t.Zone, t.Address
+		if s.Warm.IsZero() || t.Warm.Before(s.Warm) {
+			s.Warm = t.Warm
+		}
+		next[t.ID] = s
+		p.order = append(p.order, t.ID)
+	}
+	slices.Sort(p.order)
+	p.targets = next
+}
+
+// Submit adds a request; Step decides on it.
+func (p *Placer) Submit(t *Ticket) { p.waiting = append(p.waiting, t) }
+
+// Withdraw takes a waiting request out, such as one whose client has left.
+func (p *Placer) Withdraw(t *Ticket) {
+	p.waiting = slices.DeleteFunc(p.waiting, func(o *Ticket) bool { return o == t })
+}
+
+// Waiting returns the number of waiting requests.
+func (p *Placer) Waiting() int { return len(p.waiting) }
+
+// Report takes in the load that a target told in answer to what was sent at asked.
+func (p *Placer) Report(id string, l Load, asked, now time.Time) {
+	if s := p.targets[id]; s != nil {
+		s.report(l, asked, now)
+		s.silent, s.probe = 0, time.Time{}
+	}
+}
+
+// Mute takes in that a target has answered a probe without telling its load.
+func (p *Placer) Mute(id string) {
+	if s := p.targets[id]; s != nil {
+		s.mute, s.silent, s.probe = true, 0, time.Time{}
+	}
+}
+
+// Silent takes in that a probe got no answer, or one of a target that is ill.
+func (p *Placer) Silent(id string, now time.Time) {
+	s := p.targets[id]
+	if s == nil {
+		return
+	}
+	s.probe = time.Time{}
+	if s.silent++; s.silent >= silentProbes {
+		s.shun(now)
+	}
+}
+
+// Doubt takes in that a request takes much longer at a target than expected.
+func (p *Placer) Doubt(id string, now time.Time) {
+	if s := p.targets[id]; s != nil {
+		s.judge(true, now)
+	}
+}
+
+// End takes in the end of a granted request.
+func (p *Placer) End(id string, t *Ticket, e Ending, now time.Time) {
+	s := p.targets[id]
+	if s == nil {
+		return
+	}
+	began, known := s.end(t)
+	switch e {
+	case Canceled:
+	case Served:
+		s.judge(false, now)
+		if known {
+			p.learn(s, t, now.Sub(began))
+		}
+	default:
+		s.judge(true, now)
+	}
+}
+
+// learn adjusts the time of work of the kind and the own speed of the target.
+func (p *Placer) learn(s *state, t *Ticket, took time.Duration) {
+	if t.factor == 0 {
+		return
+	}
+	usual := float64(took) / t.factor
+	before, known := p.work[t.Kind]
+	if !known {
+		p.work[t.Kind] = time.Duration(usual)
+		return
+	}
+	p.work[t.Kind] = before + time.Duration(workMemory*(usual-float64(before)))
+	if before > 0 {
+		s.learn(usual / float64(before))
+	}
+}
+
+// need returns the time of work of a request at usual speed.
+func (p *Placer) need(t *Ticket) time.Duration {
+	if w, known := p.work[t.Kind]; known {
+		return w
+	}
+	return time.Duration(guess * float64(t.Span))
+}
+
+// latest is the last moment at which a start at usual speed meets the objective.
+func (p *Placer) latest(t *Ticket) time.Time { return t.Objective.Add(-p.need(t)) }
--- /dev/null
+++ b/internal/request/placer/step.go
@@ -0,0 +1,240 @@
+package placer
+
+import (
+	"slices"
+	"time"
+)
+
+// Step decides what can be decided now.
+func (p *Placer) Step(now time.Time) Actions {
+	a := Actions{}
+	p.forget(now)
+	p.sort(now)
+	kept := p.waiting[:0]
+	for rank, t := range p.waiting {
+		if g, ok := p.choose(t, now); ok {
+			a.Grants = append(a.Grants, g)
+			continue
+		}
+		if r, refused := p.refuse(t, rank-len(a.Grants)-len(a.Refusals), now); refused {
+			a.Refusals = append(a.Refusals, r)
+			continue
+		}
+		kept = append(kept, t)
+	}
+	clear(p.waiting[len(kept):])
+	p.waiting = kept
+	if len(kept) == 0 {
+		return a
+	}
+	a.Probes = p.ask(now)
+	a.Wake = p.wake(now)
+	return a
+}
+
+// sort orders the waiting: those that can meet their objective by the last moment
+// at which they can start, the urgent ones moved forward; then the others.
+func (p *Placer) sort(now time.Time) {
+	slices.SortStableFunc(p.waiting, func(a, b *Ticket) int {
+		lateA, lateB := now.After(p.latest(a)), now.After(p.latest(b))
+		if lateA != lateB {
+			if lateB {
+				return -1
+			}
+			return 1
+		}
+		return p.urgency(a, lateA).Compare(p.urgency(b, lateB))
+	})
+}
+
+func (p *Placer) urgency(t *Ticket, late bool) time.Time {
+	shift := time.Duration(t.Priority) * priorityStep
+	if late {
+		return t.Limit.Add(-p.need(t)).Add(shift)
+	}
+	return p.latest(t).Add(shift)
+}
+
+// choose starts a request if there is a target to start it at now.
+func (p *Placer) choose(t *Ticket, now time.Time) (Grant, bool) {
+	best, factor := p.best(t, now)
+	if best == nil {
+		return Grant{}, false
+	}
+	expected := time.Duration(factor * float64(p.need(t)))
+	ends := now.Add(time.Duration(margin * float64(expected)))
+	late := now.After(p.latest(t))
+	switch {
+	case factor > excellent && p.asking(t, now):
+		return Grant{}, false
+	case !late && ends.After(t.Objective):
+		return Grant{}, false
+	case late && now.Add(expected).After(t.Limit):
+		return Grant{}, false
+	}
+	g := Grant{
+		Ticket: t, Target: best.Target, Expected: expected, Age: now.Sub(best.told),
+		Busy: best.busy(), Late: late, Abroad: best.Zone != p.Zone,
+	}
+	t.factor, t.expected = factor, expected
+	best.running[t] = now
+	p.starts = append(p.starts, now)
+	return g, true
+}
+
+// best returns the target with a free slot at which a request would end first.
+func (p *Placer) best(t *Ticket, now time.Time) (*state, float64) {
+	age := Fresh
+	if p.blind {
+		age = stale
+	}
+	var best *state
+	least := 0.0
+	for _, s := range p.usable(t, now) {
+		if !s.fresh(now, age) || !s.free() {
+			continue
+		}
+		f := s.factor(now)
+		if best == nil || f < least || f == least && p.Random() < 0.5 {
+			best, least = s, f
+		}
+	}
+	return best, least
+}
+
+// usable returns the targets that a request may be sent to: none that it was sent
+// to, and none that is avoided unless most of them are.
+func (p *Placer) usable(t *Ticket, now time.Time) []*state {
+	var all, good, safe []*state
+	for _, id := range p.order {
+		s := p.targets[id]
+		if slices.Contains(t.Avoid, id) {
+			continue
+		}
+		all = append(all, s)
+		if now.Before(s.avoid) {
+			continue
+		}
+		good = append(good, s)
+		if s.failed.IsZero() || now.Sub(s.failed) >= careTime {
+			safe = append(safe, s)
+		}
+	}
+	switch {
+	case t.Careful && 2*len(safe) >= len(all):
+		return safe
+	case 2*len(good) >= len(all):
+		return good
+	}
+	return all
+}
+
+// asking reports whether an answer of a target that the request could go to is
+// still awaited.
+func (p *Placer) asking(t *Ticket, now time.Time) bool {
+	for _, s := range p.usable(t, now) {
+		if !s.probe.IsZero() && now.Sub(s.probe) < Patience {
+			return true
+		}
+	}
+	return false
+}
+
+// refuse turns a request away that cannot be served. The rank is the number of
+// requests that start before it.
+func (p *Placer) refuse(t *Ticket, rank int, now time.Time) (Refusal, bool) {
+	refusal := func(r Reason, wait time.Duration) (Refusal, bool) {
+		spread := time.Duration((0.75 + 0.5*p.Random()) * float64(wait))
+		return Refusal{Ticket: t, Return: max(spread, returnLeast), Reason: r}, true
+	}
+	if len(p.usable(t, now)) == 0 {
+		return refusal(Targetless, targetlessReturn)
+	}
+	if t.Extra && t.tried > 0 && !p.asking(t, now) {
+		return refusal(Roomless, 0)
+	}
+	wait := p.foresee(rank)
+	last := t.Limit.Add(-p.need(t))
+	if now.After(last) {
+		return refusal(Overdue, wait)
+	}
+	if rank >= foreseen && now.Add(wait).After(last) {
+		return refusal(Crowded, wait)
+	}
+	return Refusal{}, false
+}
+
+// foresee returns how long it takes until the requests of a rank have started.
+func (p *Placer) foresee(rank int) time.Duration {
+	rate := float64(max(len(p.starts), 1)) / rateWindow.Seconds()
+	return time.Duration(float64(rank+1) / rate * float64(time.Second))
+}
+
+// forget drops starts that are too old to count.
+func (p *Placer) forget(now time.Time) {
+	old := 0
+	for old < len(p.starts) && now.Sub(p.starts[old]) > rateWindow {
+		old++
+	}
+	p.starts = slices.Delete(p.starts, 0, old)
+}
+
+// ask begins a round of probes if one is due, for the most urgent request.
+func (p *Placer) ask(now time.Time) []Target {
+	t := p.waiting[0]
+	began := p.round.After(t.Arrived) || t.tried > 0
+	if began && now.Sub(p.round) < poll {
+		return nil
+	}
+	near, far := p.askable(t, now)
+	targets := near
+	if t.tried >= homeRounds || len(near) < 2 || t.Extra {
+		targets = append(targets, far...)
+	}
+	granted := p.Allow(len(targets), now)
+	p.blind = granted == 0 && len(targets) > 0
+	p.round = now
+	for _, w := range p.waiting {
+		w.tried++
+	}
+	var asked []Target
+	for _, s := range targets[:granted] {
+		s.probe = now
+		asked = append(asked, s.Target)
+	}
+	return asked
+}
+
+// askable returns up to fan targets of the own zone and of the others, drawn at
+// random from those that may have a free slot.
+func (p *Placer) askable(t *Ticket, now time.Time) (near, far []*state) {
+	for _, s := range p.usable(t, now) {
+		switch {
+		case s.mute || len(s.running) >= s.Slots || !s.probe.IsZero() && now.Sub(s.probe) < Patience:
+		case s.fresh(now, Fresh) && !s.free():
+		case s.Zone == p.Zone:
+			near = append(near, s)
+		default:
+			far = append(far, s)
+		}
+	}
+	return p.draw(near), p.draw(far)
+}
+
+func (p *Placer) draw(from []*state) []*state {
+	n := min(fan, len(from))
+	for i := range n {
+		j := i + int(p.Random()*float64(len(from)-i))
+		from[i], from[j] = from[j], from[i]
+	}
+	return from[:n]
+}
+
+// wake is when the next round is due.
+func (p *Placer) wake(now time.Time) time.Time {
+	next := p.round.Add(poll)
+	if !next.After(now) {
+		next = now.Add(poll)
+	}
+	return next
+}
--- /dev/null
+++ b/internal/request/placer/ticket.go
@@ -0,0 +1,91 @@
+package placer
+
+import "time"
+
+// Ticket is one request that wants to start at a target.
+type Ticket struct {
+	// Kind names the kind of request; requests of a kind take about the same time.
+	Kind string
+	// Priority is the rank under load; 0 is the most urgent.
+	Priority int
+	// Arrived is when the request came.
+	Arrived time.Time
+	// Objective is the latest time at which an answer meets the latency objective.
+	Objective time.Time
+	// Limit is when the request is given up.
+	Limit time.Time
+	// Careful requests must not run twice: they get the targets that failed least.
+	Careful bool
+	// Extra is a second try beside one that still runs; it starts into free room
+	// at once or not at all.
+	Extra bool
+	// Avoid names the targets that the request has been sent to.
+	Avoid []string
+	// Span is the usual length of the latency objective, from which the time of
+	// work is guessed until it has been measured.
+	Span time.Duration
+
+	// tried counts the rounds of probes since the request came.
+	tried int
+	// factor and expected are what the grant was based on.
+	factor   float64
+	expected time.Duration
+}
+
+// Expected returns how long the request was expected to take at its grant.
+func (t *Ticket) Expected() time.Duration { return t.expected }
+
+// Grant tells to send a request to a target.
+type Grant struct {
+	Ticket *Ticket
+	Target Target
+	// Expected is how long the request should take there.
+	Expected time.Duration
+	// Age is the age of the report that the choice rests on.
+	Age time.Duration
+	// Busy is the number of requests believed to be at the target before this one.
+	Busy int
+	// Late means that the objective cannot be met any more.
+	Late bool
+	// Abroad means that the target is in another availability zone.
+	Abroad bool
+}
+
+// Refusal tells to turn a request away.
+type Refusal struct {
+	Ticket *Ticket
+	// Return is the time after which the client should come back.
+	Return time.Duration
+	// Reason tells why.
+	Reason Reason
+}
+
+// Reason tells why a request was refused.
+type Reason int
+
+// The reasons of a refusal.
+const (
+	// Targetless: the service has no target to use.
+	Targetless Reason = iota
+	// Overdue: no start can be in time any more.
+	Overdue
+	// Crowded: those who wait before it take longer than the request has.
+	Crowded
+	// Roomless: there is no free room for a second try.
+	Roomless
+)
+
+// String returns the name of the reason.
+func (r Reason) String() string {
+	return [...]string{"targetless", "overdue", "crowded", "roomless"}[r]
+}
+
+// Actions is what a step leads to.
+type Actions struct {
+	Grants   []Grant
+	Refusals []Refusal
+	// Probes are targets to ask for their load.
+	Probes []Target
+	// Wake is when the next step is due without any event; zero is never.
+	Wake time.Time
+}
