Exchange documents within a zone only, while they are current there

Cause: every change of the target list was pressed and pulled by random members of the whole fleet, so most of it crossed zones, though each zone has a reader of its own. Ruled out: pings; they are the same before and after.

--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -116,7 +116,7 @@
 	i.relayer = relayer.New(relayer.Options{
 		Self: i.self, Incarnation: rand.Uint64() | 1, Seeds: o.Seeds,
 		Keys:      func() framer.Keys { return o.Keys },
-		Documents: i.document, Offer: i.offered, Rumor: i.hear, Vouched: i.vouched, Members: i.membersChanged,
+		Documents: i.document, Offer: i.offered, Rumor: i.hear, Vouched: i.vouched, Current: i.current, Members: i.membersChanged,
 		Logger: o.Logger, Scope: o.Scope,
 	})
 	source := o.Source(Offer{Table: i.offerTable, List: i.offerList})
--- a/internal/process/composer/peers.go
+++ b/internal/process/composer/peers.go
@@ -14,6 +14,16 @@
 // vouched takes in that a peer's documents are current.
 func (i *Instance) vouched(peer netip.AddrPort, now time.Time) { i.syncer.Vouched(peer, now) }
 
+// believed is how long after the last vouching the documents count as current: an
+// instance whose zone has lost the platform takes them from anywhere.
+const believed = 2 * time.Second
+
+// current reports whether this instance's documents are known to be current.
+func (i *Instance) current(now time.Time) bool {
+	c := i.syncer.Current()
+	return !c.IsZero() && now.Sub(c) < believed
+}
+
 // membersChanged counts the fleet. Members that failed a moment ago count until
 // they are forgotten: they may run on behind a cut and use their shares of the
 // fleet's budgets.
--- a/internal/process/relayer/document.go
+++ b/internal/process/relayer/document.go
@@ -129,9 +129,13 @@
 }
 
 // Announce tells a few members which documents are held here. It is called after
-// a document was taken from the platform.
+// a document was taken from the platform or from a peer.
 func (r *Relayer) Announce() {
-	r.push("", kindAnnounce, &announcement{Stamps: r.stamps()})
+	place := ""
+	if r.options.Current(time.Now()) {
+		place = r.options.Self.Place
+	}
+	r.push(place, kindAnnounce, &announcement{Stamps: r.stamps()})
 }
 
 func (r *Relayer) handleAnnounce(l *link, m framer.Message, now time.Time) error {
@@ -148,6 +152,9 @@
 	if r.options.Offer == nil {
 		return
 	}
+	if r.options.Current(now) && r.place(l.peer) != r.options.Self.Place {
+		return
+	}
 	held := r.stamps()
 	for k := range kindCount {
 		if theirs[k].newer(held[k]) && r.papers.begin(k, theirs[k], now) {
--- a/internal/process/relayer/relayer.go
+++ b/internal/process/relayer/relayer.go
@@ -52,6 +52,10 @@
 	// Vouched is called when a peer of the same place tells that its documents are
 	// current; nil ignores it.
 	Vouched func(peer netip.AddrPort, now time.Time)
+	// Current reports whether the documents are known to be current from within
+	// the place. Then none are exchanged with other places, where traffic costs
+	// most. Nil is never.
+	Current func(now time.Time) bool
 	// Execute runs an operation that was forwarded to this incarnation. The
 	// context ends when the asking instance gives up or goes away.
 	Execute func(ctx context.Context, o Operation) Outcome
@@ -104,6 +108,9 @@
 	if o.Allow == nil {
 		o.Allow = func(netip.AddrPort) bool { return true }
 	}
+	if o.Current == nil {
+		o.Current = func(time.Time) bool { return false }
+	}
 	if o.Logger == nil {
 		o.Logger = log.NewNopLogger()
 	}
