--- a/internal/process/detector/detector.go
+++ b/internal/process/detector/detector.go
@@ -14,8 +14,6 @@
 	helpersRemote = 1
 	// fanout is the number of members told at once of the instance's own leaving.
 	fanout = 4
-	// remoteEvery is the number of periods between pings to other places.
-	remoteEvery = 5
 	// retryEvery is the number of periods between pings to failed members.
 	retryEvery = 10
 	// extraPings bounds the pings sent in one period to check claims.
@@ -91,6 +89,9 @@
 
 // New returns a detector that knows only itself.
 func New(o Options, now time.Time) *Detector {
+	if o.Remote == 0 {
+		o.Remote = DefaultRemote
+	}
 	d := &Detector{
 		options:    o,
 		self:       o.Self,
--- a/internal/process/detector/member.go
+++ b/internal/process/detector/member.go
@@ -77,6 +77,9 @@
 	Timeout time.Duration
 	// Suspicion is the time that a suspect has to refute.
 	Suspicion time.Duration
+	// Remote is the number of periods between pings to other places; 0 is
+	// DefaultRemote.
+	Remote uint64
 	// Forget is how long failed and ended incarnations are remembered.
 	Forget time.Duration
 	// Random drives the order of pings and the choice of helpers; a fixed seed
@@ -90,4 +93,5 @@
 	DefaultTimeout   = 200 * time.Millisecond
 	DefaultSuspicion = 4 * time.Second
 	DefaultForget    = 2 * time.Hour
+	DefaultRemote    = 5
 )
--- a/internal/process/detector/round.go
+++ b/internal/process/detector/round.go
@@ -81,7 +81,7 @@
 	far := func(r *record) bool {
 		return r.member.State <= Suspect && r.member.Instance.Place != d.self.Instance.Place
 	}
-	if d.periods%remoteEvery == 0 {
+	if d.periods%d.options.Remote == 0 {
 		if a, found := d.take(&d.remote, far); found {
 			return a, true
 		}
--- a/internal/process/relayer/relayer.go
+++ b/internal/process/relayer/relayer.go
@@ -41,6 +41,9 @@
 	// of a ping and the suspicion scale with it.
 	Period time.Duration
 
+	// Remote is the number of periods between pings to other places; 0 is the
+	// detector's default.
+	Remote uint64
 	// Documents returns the version, digest and text of the document in force.
 	Documents func(kind Kind) (version, digest uint64, text []byte)
 	// Offer hands over a document that a peer holds; it reports whether it is
@@ -151,6 +154,7 @@
 		Period:    o.Period,
 		Timeout:   scale(detector.DefaultTimeout),
 		Suspicion: scale(detector.DefaultSuspicion),
+		Remote:    o.Remote,
 		Forget:    detector.DefaultForget,
 		Random:    rand.Uint64,
 	}
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -14,6 +14,9 @@
 const (
 	// callTimeout bounds a call, or what remains of it after the wait.
 	callTimeout = 800 * time.Millisecond
+	// gather is the time between two calls that bring news, which come in series
+	// when targets are replaced; it is short beside the bounds on their effect.
+	gather = 100 * time.Millisecond
 	// oldest is the age up to which a copy is brought up to date by its changes
 	// and not read anew; the platform keeps its history longer.
 	oldest = 5 * time.Second
@@ -91,6 +94,9 @@
 			continue
 		}
 		err := s.call(now.Sub(read) > oldest)
+		if rest := gather - time.Since(now); err == nil && rest > 0 {
+			s.sleep(rest)
+		}
 		if s.context.Err() != nil {
 			return nil
 		}
--- a/internal/process/syncer/turn.go
+++ b/internal/process/syncer/turn.go
@@ -8,7 +8,7 @@
 const (
 	// Wait is how long the platform holds a waiting call without news, and so the
 	// time between two vouchings.
-	Wait = 700 * time.Millisecond
+	Wait = time.Second
 	// patience is how long after the last vouching the next instance in the order
 	// reads by itself: an answer that comes late must not count as none.
 	patience = Wait + 300*time.Millisecond
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -16,9 +16,10 @@
 	Patience = 30 * time.Millisecond
 	// poll is the time between two rounds of probes while requests wait.
 	poll = 12 * time.Millisecond
-	// fan is the number of targets that a round asks in the own zone, and as many
-	// elsewhere.
-	fan = 6
+	// near and far are the numbers of targets that a round asks in the own zone and
+	// in others.
+	near = 6
+	far  = 3
 	// homeRounds is the number of rounds after which targets of other zones are
 	// asked too: bytes between zones cost more than a short wait.
 	homeRounds = 2
--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -186,10 +186,9 @@
 	if began && now.Sub(p.round) < poll {
 		return nil
 	}
-	near, far := p.askable(t, now)
-	targets := near
-	if t.tried >= homeRounds || len(near) < 2 || t.Extra {
-		targets = append(targets, far...)
+	targets, abroad := p.askable(t, now)
+	if t.tried >= homeRounds || len(targets) < 2 || t.Extra {
+		targets = append(targets, abroad...)
 	}
 	granted := p.Allow(len(targets), now)
 	p.blind = granted == 0 && len(targets) > 0
@@ -205,24 +204,25 @@
 	return asked
 }
 
-// askable returns up to fan targets of the own zone and of the others, drawn at
-// random from those that may have a free slot.
-func (p *Placer) askable(t *Ticket, now time.Time) (near, far []*state) {
+// askable returns some targets of the own zone and of the others, drawn at random
+// from those that may have a free slot.
+func (p *Placer) askable(t *Ticket, now time.Time) (home, abroad []*state) {
 	for _, s := range p.usable(t, now) {
 		switch {
 		case s.mute || len(s.running) >= s.Slots || !s.probe.IsZero() && now.Sub(s.probe) < Patience:
 		case s.fresh(now, Fresh) && !s.free():
 		case s.Zone == p.Zone:
-			near = append(near, s)
+			home = append(home, s)
 		default:
-			far = append(far, s)
+			abroad = append(abroad, s)
 		}
 	}
-	return p.draw(near), p.draw(far)
+	return p.draw(home, near), p.draw(abroad, far)
 }
 
-func (p *Placer) draw(from []*state) []*state {
-	n := min(fan, len(from))
+// draw returns up to most random ones.
+func (p *Placer) draw(from []*state, most int) []*state {
+	n := min(most, len(from))
 	for i := range n {
 		j := i + int(p.Random()*float64(len(from)-i))
 		from[i], from[j] = from[j], from[i]
