Start a request when it is expected to meet its objective, without a margin

Cause: with a margin of a quarter a request with some wait behind it was started on no busy target, though that meets the objective more often than not; it became late.

--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -26,9 +26,10 @@
 	// excellent is the factor up to which a target is taken without waiting for
 	// the other answers of its round.
 	excellent = 1.2
-	// margin is how much longer than expected a request may take that is counted
-	// on to meet its objective.
-	margin = 1.25
+	// lateFactor is the factor up to which a target is taken by a request that is
+	// late already: on a slower one it would hold a slot for as long as several
+	// requests that could still be in time.
+	lateFactor = 2.0
 	// guess is the share of the objective that work is taken to need before any
 	// request of a kind was measured.
 	guess = 0.4
--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -62,14 +62,14 @@
 		return Grant{}, false
 	}
 	expected := time.Duration(factor * float64(p.need(t)))
-	ends := now.Add(time.Duration(margin * float64(expected)))
+	ends := now.Add(expected)
 	late := now.After(p.latest(t))
 	switch {
 	case factor > excellent && p.asking(t, now):
 		return Grant{}, false
 	case !late && ends.After(t.Objective):
 		return Grant{}, false
-	case late && now.Add(expected).After(t.Limit):
+	case late && (factor > lateFactor || ends.After(t.Limit)):
 		return Grant{}, false
 	}
 	g := Grant{
