--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -15,7 +15,7 @@
 	// Patience is how long a probe is waited for.
 	Patience = 30 * time.Millisecond
 	// poll is the time between two rounds of probes while requests wait.
-	poll = 12 * time.Millisecond
+	poll = 20 * time.Millisecond
 	// near and far are the numbers of targets that a round asks in the own zone and
 	// in others.
 	near = 6
