--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -99,6 +99,8 @@
 	leaving   atomic.Bool
 	// ready is set once and never taken back.
 	ready atomic.Bool
+	// caughtUp is set once a peer has handed over what it knows.
+	caughtUp atomic.Bool
 	// fleet is the number of instances seen alive, this one included.
 	fleet atomic.Int64
 }
@@ -179,11 +181,8 @@
 
 // enter makes the instance ready once its documents can be relied on.
 func (i *Instance) enter(ctx context.Context) error {
-	asked, cancel := context.WithTimeout(ctx, catchUp)
-	reached := i.relayer.Catchup(asked, nil)
-	cancel()
-	_ = level.Info(i.options.Logger).Log("msg", "peers asked", "reached", reached)
-	ticker := time.NewTicker(10 * time.Millisecond)
+	go i.askPeers(ctx)
+	ticker := time.NewTicker(5 * time.Millisecond)
 	defer ticker.Stop()
 	for !i.settled(time.Now()) {
 		select {
@@ -199,13 +198,23 @@
 	return nil
 }
 
+// askPeers takes in what peers know: documents, in case the platform is out of
+// reach, and rumors.
+func (i *Instance) askPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, catchUp)
+	defer cancel()
+	reached := i.relayer.Catchup(ctx, nil)
+	i.caughtUp.Store(reached > 0)
+	_ = level.Info(i.options.Logger).Log("msg", "peers asked", "reached", reached)
+}
+
 // settled reports whether the documents are known to be current, or as current
 // as can be had while the platform is out of reach.
 func (i *Instance) settled(now time.Time) bool {
 	if i.tables.Current() == nil || i.lists.Current() == nil {
 		return false
 	}
-	return !i.syncer.Current().IsZero() || now.Sub(i.began) > trust
+	return !i.syncer.Current().IsZero() || i.caughtUp.Load() && i.syncer.Lost() || now.Sub(i.began) > trust
 }
 
 // Ready reports whether the instance takes clients.
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -41,7 +41,8 @@
 	turn  Turn
 	// current is when the copy was last known to be current.
 	current time.Time
-	kick    chan struct{}
+	// lost means that the last call to the platform failed.
+	lost    bool
 	cancel  context.CancelFunc
 	context context.Context
 	done    chan struct{}
@@ -51,7 +52,6 @@
 // order.
 func (s *Syncer) Prepare() {
 	s.turn = Turn{Self: s.Self, Random: rand.Float64}
-	s.kick = make(chan struct{}, 1)
 	s.done = make(chan struct{})
 	s.context, s.cancel = context.WithCancel(context.Background())
 }
@@ -71,6 +71,13 @@
 	return s.current
 }
 
+// Lost reports whether the last call to the platform failed.
+func (s *Syncer) Lost() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.lost
+}
+
 // Stop ends Run. Done tells when it has ended.
 func (s *Syncer) Stop() { s.cancel() }
 
@@ -80,7 +87,7 @@
 // Run reads until Stop.
 func (s *Syncer) Run() error {
 	defer close(s.done)
-	reading, lost := false, false
+	reading := false
 	var read time.Time
 	for s.context.Err() == nil {
 		now := time.Now()
@@ -101,15 +108,13 @@
 			return nil
 		}
 		now = time.Now()
-		s.finish(err != nil, now)
+		if s.finish(err != nil, now) {
+			s.note(err)
+		}
 		if err == nil {
 			read = now
 			s.Vouch(now)
 		}
-		if (err != nil) != lost {
-			lost = err != nil
-			s.note(lost, err)
-		}
 	}
 	return nil
 }
@@ -121,13 +126,18 @@
 	return s.turn.Due(now, before)
 }
 
-func (s *Syncer) finish(failed bool, now time.Time) {
+// finish takes in how a call ended and reports whether the platform was lost or
+// is back with it.
+func (s *Syncer) finish(failed bool, now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.turn.Finish(failed, now)
 	if !failed {
 		s.current = now
 	}
+	changed := failed != s.lost
+	s.lost = failed
+	return changed
 }
 
 func (s *Syncer) call(anew bool) error {
@@ -139,8 +149,8 @@
 	return s.Await(ctx, Wait)
 }
 
-func (s *Syncer) note(lost bool, err error) {
-	if lost {
+func (s *Syncer) note(err error) {
+	if err != nil {
 		_ = level.Warn(s.Logger).Log("msg", "platform lost", "err", err)
 		return
 	}
