Save probes up for the worst seconds

Ruled out: refusing behind a longer queue only (4 -> 12), which changes nothing, but spares refusals by a rate of starts that says little at a few starts a second; kept.

--- a/internal/request/budgeter/probes.go
+++ b/internal/request/budgeter/probes.go
@@ -4,10 +4,11 @@
 
 const (
 	// probeBurst is the time whose probes may be saved up: load at its worst lasts
-	// several seconds, and the bound holds over much longer ones.
-	probeBurst = 4 * time.Second
-	// probeStart is the part of the burst that a new process may use at once.
-	probeStart = 0.5
+	// several seconds, and the fleet's rate holds over much longer ones.
+	probeBurst = 20 * time.Second
+	// probeStart is the time whose probes a new process may use at once. It is
+	// granted anew with each start.
+	probeStart = 5 * time.Second
 )
 
 // Probes grants probes at an instance's share of the fleet's rate.
@@ -22,7 +23,7 @@
 	share := safety * rate / float64(max(fleet, 1))
 	most := share * probeBurst.Seconds()
 	if p.filled.IsZero() {
-		p.tokens = most * probeStart
+		p.tokens = share * probeStart.Seconds()
 	} else {
 		p.tokens = min(most, p.tokens+share*now.Sub(p.filled).Seconds())
 	}
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -42,7 +42,7 @@
 	rateWindow = time.Second
 	// foreseen is the least number of waiting requests from which the wait is
 	// foreseen by the rate of starts.
-	foreseen = 4
+	foreseen = 12
 	// returnLeast bounds Refusal.Return from below.
 	returnLeast = 50 * time.Millisecond
 	// targetlessReturn is Refusal.Return without targets: about the time in which
