Ask for other reports before a second-best start; stand-ins and tests of the platform

Cause: TestLeavingTargetGetsNoNewRequest showed that a target that had joined got no request in ten seconds: the one that had just answered had the only fresh report and was taken, though it was not free of others. Factors that differ by less than the estimates are good now count as equal. Each meter has a registry of its own, so that several instances run in one process.

--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -24,7 +25,10 @@
 
 // New makes a meter whose counters start with the name of the program.
 func New() *Meter {
-	r := prometheus.NewReporter(prometheus.Options{})
+	// A registry of its own lets several instances live in one process.
+	registry := client.NewRegistry()
+	registry.MustRegister(client.NewGoCollector())
+	r := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "oriolecourse",
 		CachedReporter:         r,
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -23,6 +23,9 @@
 	// homeRounds is the number of rounds after which targets of other zones are
 	// asked too: bytes between zones cost more than a short wait.
 	homeRounds = 2
+	// equal is the ratio up to which two factors count as the same: estimates are
+	// not better than that.
+	equal = 1.15
 	// excellent is the factor up to which a target is taken without waiting for
 	// the other answers of its round.
 	excellent = 1.2
--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -65,7 +66,7 @@
 	ends := now.Add(expected)
 	late := now.After(p.latest(t))
 	switch {
-	case factor > excellent && p.asking(t, now):
+	case factor > excellent && (p.asking(t, now) || t.tried == 0 && !p.blind):
 		return Grant{}, false
 	case !late && ends.After(t.Objective):
 		return Grant{}, false
@@ -83,23 +84,27 @@
 }
 
 // best returns the target with a free slot at which a request would end first.
+// Among those that are about equal it draws one, so that a target that has joined
+// gets its share.
 func (p *Placer) best(t *Ticket, now time.Time) (*state, float64) {
 	age := Fresh
 	if p.blind {
 		age = stale
 	}
-	var best *state
-	least := 0.0
+	least := math.Inf(1)
+	var free []*state
 	for _, s := range p.usable(t, now) {
-		if !s.fresh(now, age) || !s.free() {
-			continue
-		}
-		f := s.factor(now)
-		if best == nil || f < least || f == least && p.Random() < 0.5 {
-			best, least = s, f
+		if s.fresh(now, age) && s.free() {
+			free = append(free, s)
+			least = min(least, s.factor(now))
 		}
 	}
-	return best, least
+	free = slices.DeleteFunc(free, func(s *state) bool { return s.factor(now) > equal*least })
+	if len(free) == 0 {
+		return nil, 0
+	}
+	s := free[int(p.Random()*float64(len(free)))]
+	return s, s.factor(now)
 }
 
 // usable returns the targets that a request may be sent to: none that it was sent
