--- /dev/null
+++ b/internal/process/syncer/syncer_test.go
@@ -0,0 +1,136 @@
+package syncer
+
+import (
+	"fmt"
+	"math/rand"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func peer(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
+}
+
+// sim is a zone of instances in virtual time. Instances that are down do nothing;
+// those that are cut cannot reach the platform.
+type sim struct {
+	turns     []*Turn
+	down, cut []bool
+	next      []time.Time
+	// current is when each instance's copy was last known to be current.
+	current []time.Time
+	calls   int
+}
+
+func newSim(n int, random *rand.Rand) *sim {
+	s := &sim{down: make([]bool, n), cut: make([]bool, n), next: make([]time.Time, n), current: make([]time.Time, n)}
+	for i := range n {
+		s.turns = append(s.turns, &Turn{Self: peer(i), Random: random.Float64})
+	}
+	return s
+}
+
+func (s *sim) before(i int) []netip.AddrPort {
+	var all []netip.AddrPort
+	for k := range i {
+		all = append(all, peer(k))
+	}
+	return all
+}
+
+// step lets each instance do what is due at a time.
+func (s *sim) step(now time.Time) {
+	for i, t := range s.turns {
+		if s.down[i] || now.Before(s.next[i]) {
+			continue
+		}
+		due, again := t.Due(now, s.before(i))
+		if !due {
+			s.next[i] = again
+			continue
+		}
+		s.calls++
+		if s.cut[i] {
+			s.next[i] = now.Add(callTimeout)
+			t.Finish(true, s.next[i])
+			continue
+		}
+		t.Finish(false, now)
+		s.next[i] = now.Add(Wait)
+		for k, o := range s.turns {
+			if !s.down[k] && k != i {
+				o.Vouched(peer(i), now)
+				s.current[k] = now
+			}
+		}
+		s.current[i] = now
+	}
+}
+
+// Whoever is killed or cut off, each live instance hears of a current copy again
+// within the time that the drain of a target leaves.
+func TestAnotherReadsWithinTwoSeconds(t *testing.T) {
+	const bound = 2 * time.Second
+	for seed := range int64(100) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			random := rand.New(rand.NewSource(seed))
+			s := newSim(2+random.Intn(30), random)
+			start := time.Unix(100, 0)
+			var disturbed time.Time
+			for now := start; now.Sub(start) < 40*time.Second; now = now.Add(10 * time.Millisecond) {
+				if random.Intn(300) == 0 {
+					i := random.Intn(min(len(s.turns), 4))
+					s.down[i] = !s.down[i]
+					if s.down[i] {
+						disturbed = now
+					} else {
+						s.next[i], s.current[i], s.turns[i] = now, now, &Turn{Self: peer(i), Random: random.Float64}
+					}
+				}
+				if random.Intn(300) == 0 {
+					s.cut[random.Intn(min(len(s.turns), 4))] = random.Intn(2) == 0
+					disturbed = now
+				}
+				s.step(now)
+				reach := false
+				for i := range s.turns {
+					reach = reach || !s.down[i] && !s.cut[i]
+				}
+				if !reach {
+					disturbed = now
+				}
+				for i := range s.turns {
+					if !s.down[i] && now.Sub(disturbed) > bound && now.Sub(start) > bound {
+						require.LessOrEqual(t, now.Sub(s.current[i]), bound, "instance %d at %s", i, now.Sub(start))
+					}
+				}
+			}
+		})
+	}
+}
+
+// An undisturbed zone calls the platform like one instance.
+func TestOneReadsWhileNothingIsWrong(t *testing.T) {
+	s := newSim(30, rand.New(rand.NewSource(1)))
+	start := time.Unix(100, 0)
+	for now := start; now.Sub(start) < 30*time.Second; now = now.Add(10 * time.Millisecond) {
+		s.step(now)
+	}
+	require.LessOrEqual(t, s.calls, 30+len(s.turns))
+}
+
+func TestFailedCallsAreSpaced(t *testing.T) {
+	turn := &Turn{Self: peer(0), Random: func() float64 { return 0 }}
+	now, calls := time.Unix(0, 0), 0
+	for end := now.Add(10 * time.Second); now.Before(end); now = now.Add(time.Millisecond) {
+		if due, _ := turn.Due(now, nil); due {
+			calls++
+			turn.Finish(true, now)
+		}
+	}
+	require.LessOrEqual(t, calls, 25)
+	require.GreaterOrEqual(t, calls, 10)
+}
--- /dev/null
+++ b/internal/request/budgeter/budgeter_test.go
@@ -0,0 +1,120 @@
+package budgeter
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	ratio     = 0.2
+	allowance = 60.0
+	window    = 10 * time.Second
+)
+
+// event is one request or granted attempt of the fleet.
+type event struct {
+	at      time.Time
+	attempt bool
+}
+
+// play runs a fleet whose members take all they are granted, some of them cut off
+// (they believe in a smaller fleet), some restarted (they begin with a new share).
+func play(seed int64, members int, take func(r *Retries, now time.Time, fleet int) bool) []event {
+	random := rand.New(rand.NewSource(seed))
+	start := time.Unix(0, 0)
+	fleet := make([]*Retries, members)
+	for i := range fleet {
+		fleet[i] = &Retries{Ratio: ratio, Allowance: allowance, Window: window}
+	}
+	var events []event
+	now := start
+	for now.Sub(start) < time.Minute {
+		now = now.Add(time.Duration(random.ExpFloat64() * float64(5*time.Millisecond)))
+		i := random.Intn(members)
+		if random.Intn(4000) == 0 {
+			fleet[i] = &Retries{Ratio: ratio, Allowance: allowance, Window: window}
+		}
+		fleet[i].Request(now)
+		events = append(events, event{at: now})
+		for random.Intn(3) > 0 && take(fleet[i], now, members-random.Intn(1+members/4)) {
+			events = append(events, event{at: now, attempt: true})
+		}
+	}
+	return events
+}
+
+// within reports whether each sliding window holds the fleet's budget.
+func within(events []event) bool {
+	requests, attempts, first := 0, 0, 0
+	for _, e := range events {
+		if e.attempt {
+			attempts++
+		} else {
+			requests++
+		}
+		for e.at.Sub(events[first].at) > window {
+			if events[first].attempt {
+				attempts--
+			} else {
+				requests--
+			}
+			first++
+		}
+		if float64(attempts) > ratio*float64(requests)+allowance {
+			return false
+		}
+	}
+	return true
+}
+
+func TestRetriesKeepTheFleetsBudgetInEachWindow(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(1)
+	parameters.MinSuccessfulTests = 30
+	properties := gopter.NewProperties(parameters)
+	properties.Property("budget", prop.ForAll(func(seed int64, members int) bool {
+		return within(play(seed, members, (*Retries).Take))
+	}, gen.Int64(), gen.IntRange(1, 40)))
+	properties.TestingRun(t)
+}
+
+// A budget that each member holds for itself breaks the check.
+func TestRetriesCheckRejectsUnsharedBudget(t *testing.T) {
+	unshared := func(r *Retries, now time.Time, _ int) bool { return r.Take(now, 1) }
+	require.False(t, within(play(1, 16, unshared)))
+}
+
+func TestRetriesGrantAFewWithoutRequests(t *testing.T) {
+	r := &Retries{Ratio: ratio, Allowance: allowance, Window: window}
+	now := time.Unix(5, 0)
+	granted := 0
+	for range 100 {
+		if r.Take(now, 4) {
+			granted++
+		}
+	}
+	require.Equal(t, int(safety*allowance/4), granted)
+	require.False(t, r.Take(now.Add(window), 4))
+	require.True(t, r.Take(now.Add(window+time.Second), 4))
+}
+
+// Over any time from the start on, a process sends no more than its share and what
+// a start grants.
+func TestProbesKeepTheShare(t *testing.T) {
+	const rate, fleet = 600.0, 4
+	p := &Probes{}
+	random := rand.New(rand.NewSource(1))
+	start := time.Unix(0, 0)
+	sent := 0
+	for now := start; now.Sub(start) < 2*time.Minute; now = now.Add(time.Duration(random.Intn(40)) * time.Millisecond) {
+		sent += p.Take(random.Intn(12), rate, fleet, now)
+		most := safety * rate / fleet * (now.Sub(start) + probeStart).Seconds()
+		require.LessOrEqual(t, float64(sent), most+1e-6)
+	}
+	require.Positive(t, sent)
+}
--- /dev/null
+++ b/internal/version/router/router_test.go
@@ -0,0 +1,83 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"github.com/stretchr/testify/require"
+)
+
+func table(routes ...Route) *Table {
+	for i := range routes {
+		r := &routes[i]
+		r.Timeout, r.Objective, r.Attempts = time.Second, time.Second, 1
+		if r.Parts == nil {
+			r.Parts = []Part{{Service: "s", Weight: 1}}
+		}
+	}
+	return &Table{Version: 1, Routes: routes, Services: []Service{{Name: "s"}, {Name: "t"}}}
+}
+
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	x := table(
+		Route{Name: "root", Host: "h", Prefix: "/"},
+		Route{Name: "a", Host: "h", Prefix: "/a/"},
+		Route{Name: "ab", Host: "h", Prefix: "/a/b/"},
+		Route{Name: "other", Host: "o", Prefix: "/a/b/c/"},
+	)
+	require.NoError(t, x.Prepare())
+	for path, want := range map[string]string{
+		"/": "root", "/a": "root", "/a/": "a", "/a/bc": "a", "/a/b/": "ab", "/a/b/c/d": "ab", "/A/b": "root",
+	} {
+		require.Equal(t, want, x.Match("H:80", path).Name, path)
+	}
+	require.Nil(t, x.Match("nobody", "/a/"))
+	require.Nil(t, x.Match("o", "/a/b/"))
+}
+
+func TestDecodeReadsWhatEncodeWrites(t *testing.T) {
+	x := table(Route{Name: "a", Host: "h", Prefix: "/a/", Idempotent: true, Priority: 3, Parts: []Part{{"s", 9}, {"t", 1}}})
+	require.NoError(t, x.Prepare())
+	text, err := x.Encode()
+	require.NoError(t, err)
+	y, err := Decode(text)
+	require.NoError(t, err)
+	require.Equal(t, x, y)
+}
+
+func TestPrepareRefuses(t *testing.T) {
+	for name, x := range map[string]*Table{
+		"no version": {},
+		"no host":    table(Route{Prefix: "/a/"}),
+		"prefix":     table(Route{Host: "h", Prefix: "/a"}),
+		"service":    table(Route{Host: "h", Prefix: "/a/", Parts: []Part{{"unknown", 1}}}),
+		"weight":     table(Route{Host: "h", Prefix: "/a/", Parts: []Part{{"s", -1}}}),
+	} {
+		require.Error(t, x.Prepare(), name)
+	}
+}
+
+// Each part gets its share of any number of requests, less than one per part off.
+func TestSplitterIsExact(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(1)
+	properties := gopter.NewProperties(parameters)
+	properties.Property("shares", prop.ForAll(func(a, b, c, start, n int) bool {
+		r := &Route{Name: "r", Parts: []Part{{"a", a}, {"b", b}, {"c", c}}}
+		s := NewSplitter(func(total int) int { return start % total })
+		got := map[string]int{}
+		for range n {
+			got[s.Pick(r)]++
+		}
+		for _, p := range r.Parts {
+			want := float64(n) * float64(p.Weight) / float64(a+b+c)
+			if d := float64(got[p.Service]) - want; d > 2 || d < -2 {
+				return false
+			}
+		}
+		return true
+	}, gen.IntRange(0, 90), gen.IntRange(1, 90), gen.IntRange(0, 90), gen.IntRange(0, 1000), gen.IntRange(1, 400)))
+	properties.TestingRun(t)
+}
