Choose without reports when none can be had; a model of loads and ways to place

Cause: the new model's way without probes refused every request: without any report there was no choice at all, so a broken health endpoint would have stopped a service. Work that is measured under overload no longer counts as what cannot be served.

--- a/internal/request/budgeter/budgeter_test.go
+++ b/internal/request/budgeter/budgeter_test.go
@@ -113,7 +113,7 @@
 	sent := 0
 	for now := start; now.Sub(start) < 2*time.Minute; now = now.Add(time.Duration(random.Intn(40)) * time.Millisecond) {
 		sent += p.Take(random.Intn(12), rate, fleet, now)
-		most := safety * rate / fleet * (now.Sub(start) + probeStart).Seconds()
+		most := probeSafety * rate / fleet * (now.Sub(start) + probeStart).Seconds()
 		require.LessOrEqual(t, float64(sent), most+1e-6)
 	}
 	require.Positive(t, sent)
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -10,16 +10,20 @@
 	// Fresh is the age up to which a report is chosen by. Speeds change every
 	// tenth of a second or so.
 	Fresh = 6 * time.Millisecond
-	// stale is the age up to which a report is chosen by when no probe may be sent.
+	// stale is the age from which a report says nothing; up to it, a choice without
+	// probes goes by it.
 	stale = 500 * time.Millisecond
+	// deafRounds is the number of rounds without any answer after which a request
+	// goes by own counts.
+	deafRounds = 2
 	// Patience is how long a probe is waited for.
 	Patience = 30 * time.Millisecond
 	// poll is the time between two rounds of probes while requests wait.
 	poll = 20 * time.Millisecond
-	// near and far are the numbers of targets that a round asks in the own zone and
+	// nearFan and farFan are the numbers of targets that a round asks in the own zone and
 	// in others.
-	near = 6
-	far  = 3
+	nearFan = 6
+	farFan  = 3
 	// homeRounds is the number of rounds after which targets of other zones are
 	// asked too: bytes between zones cost more than a short wait.
 	homeRounds = 2
@@ -36,6 +40,9 @@
 	// guess is the share of the objective that work is taken to need before any
 	// request of a kind was measured.
 	guess = 0.4
+	// soonest is the share of the objective that work needs at most at usual speed;
+	// with more, the objective could hardly ever be met.
+	soonest = 0.6
 	// workMemory is the weight of the newest request in the time of work of a kind.
 	workMemory = 0.1
 	// priorityStep is the advantage in waiting of one rank over the next; a bounded
@@ -72,6 +79,8 @@
 	round time.Time
 	// blind means that the last round was not allowed.
 	blind bool
+	// heard is when a target told its load last.
+	heard time.Time
 	// starts holds the times of the grants within rateWindow.
 	starts []time.Time
 }
@@ -123,6 +132,7 @@
 func (p *Placer) Report(id string, l Load, asked, now time.Time) {
 	if s := p.targets[id]; s != nil {
 		s.report(l, asked, now)
+		p.heard = now
 		s.silent, s.probe = 0, time.Time{}
 	}
 }
@@ -197,5 +207,12 @@
 	return time.Duration(guess * float64(t.Span))
 }
 
+// soonest is the time in which a request can end at best. While targets are
+// overloaded, work that was measured is longer than that, and says nothing on
+// what cannot be served.
+func (p *Placer) soonest(t *Ticket) time.Duration {
+	return min(p.need(t), time.Duration(soonest*float64(t.Span)))
+}
+
 // latest is the last moment at which a start at usual speed meets the objective.
 func (p *Placer) latest(t *Ticket) time.Time { return t.Objective.Add(-p.need(t)) }
--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -75,7 +75,7 @@
 	}
 	g := Grant{
 		Ticket: t, Target: best.Target, Expected: expected, Age: now.Sub(best.told),
-		Busy: best.busy(), Late: late, Abroad: best.Zone != p.Zone,
+		Busy: best.busy(now), Late: late, Abroad: !p.near(best),
 	}
 	t.factor, t.expected = factor, expected
 	best.running[t] = now
@@ -84,29 +84,42 @@
 }
 
 // best returns the target with a free slot at which a request would end first.
-// Among those that are about equal it draws one, so that a target that has joined
-// gets its share.
+// Among those that are about equal it draws one of the own zone if there is any;
+// a target that has joined thus gets its share. Without reports all are equal.
 func (p *Placer) best(t *Ticket, now time.Time) (*state, float64) {
 	age := Fresh
 	if p.blind {
 		age = stale
 	}
+	deaf := p.deaf(t, now)
 	least := math.Inf(1)
 	var free []*state
 	for _, s := range p.usable(t, now) {
-		if s.fresh(now, age) && s.free() {
+		if (deaf || s.fresh(now, age)) && s.free(now) {
 			free = append(free, s)
 			least = min(least, s.factor(now))
 		}
 	}
-	free = slices.DeleteFunc(free, func(s *state) bool { return s.factor(now) > equal*least })
+	free = slices.DeleteFunc(free, func(s *state) bool { return !deaf && s.factor(now) > equal*least })
 	if len(free) == 0 {
 		return nil, 0
 	}
+	if slices.ContainsFunc(free, p.near) {
+		free = slices.DeleteFunc(free, func(s *state) bool { return !p.near(s) })
+	}
 	s := free[int(p.Random()*float64(len(free)))]
 	return s, s.factor(now)
 }
 
+// near reports whether a target is in the own zone.
+func (p *Placer) near(s *state) bool { return s.Zone == p.Zone }
+
+// deaf reports whether no target has told its load for some time, though a request
+// has asked: the health endpoint is out of order, or the network.
+func (p *Placer) deaf(t *Ticket, now time.Time) bool {
+	return t.tried >= deafRounds && now.Sub(p.heard) > stale && !p.asking(t, now)
+}
+
 // usable returns the targets that a request may be sent to: none that it was sent
 // to, and none that is avoided unless most of them are.
 func (p *Placer) usable(t *Ticket, now time.Time) []*state {
@@ -159,7 +172,7 @@
 		return refusal(Roomless, 0)
 	}
 	wait := p.foresee(rank)
-	last := t.Limit.Add(-p.need(t))
+	last := t.Limit.Add(-p.soonest(t))
 	if now.After(last) {
 		return refusal(Overdue, wait)
 	}
@@ -215,14 +228,14 @@
 	for _, s := range p.usable(t, now) {
 		switch {
 		case s.mute || len(s.running) >= s.Slots || !s.probe.IsZero() && now.Sub(s.probe) < Patience:
-		case s.fresh(now, Fresh) && !s.free():
-		case s.Zone == p.Zone:
+		case s.fresh(now, Fresh) && !s.free(now):
+		case p.near(s):
 			home = append(home, s)
 		default:
 			abroad = append(abroad, s)
 		}
 	}
-	return p.draw(home, near), p.draw(abroad, far)
+	return p.draw(home, nearFan), p.draw(abroad, farFan)
 }
 
 // draw returns up to most random ones.
--- a/internal/request/placer/target.go
+++ b/internal/request/placer/target.go
@@ -109,9 +109,10 @@
 	return &state{Target: t, running: map[*Ticket]time.Time{}, own: 1}
 }
 
-// busy estimates the requests at the target now, those of others included.
-func (s *state) busy() int {
-	if !s.tells {
+// busy estimates the requests at the target now, those of others included. A
+// report that is out of date says nothing of the others.
+func (s *state) busy(now time.Time) int {
+	if !s.tells || now.Sub(s.told) > stale {
 		return len(s.running)
 	}
 	n := s.load.Running + s.load.Waiting - s.ended
@@ -124,7 +125,7 @@
 }
 
 // free reports whether a request would start at once.
-func (s *state) free() bool { return s.busy() < s.Slots }
+func (s *state) free(now time.Time) bool { return s.busy(now) < s.Slots }
 
 // fresh reports whether what is known of the target is young enough to choose by.
 func (s *state) fresh(now time.Time, age time.Duration) bool {
@@ -134,10 +135,10 @@
 // factor is how much longer than usual a request that starts now would take.
 func (s *state) factor(now time.Time) float64 {
 	f := s.own
-	if s.tells {
+	if s.tells && now.Sub(s.told) <= stale {
 		f *= s.load.Pace
 	}
-	if float64(s.busy()+1) > kneeShare*float64(s.Slots) {
+	if float64(s.busy(now)+1) > kneeShare*float64(s.Slots) {
 		f *= kneeFactor
 	}
 	if now.Before(s.Warm) {
--- a/internal/standin/commander/command.go
+++ b/internal/standin/commander/command.go
@@ -32,7 +32,7 @@
 		PersistentPreRunE: func(c *cobra.Command, _ []string) error { return fromEnvironment(c.Flags()) },
 	}
 	root.AddCommand(platformCommand(), targetCommand(), recorderCommand(),
-		loadCommand(), judgeCommand(), sendCommand(), compareCommand(), stretchCommand(), rankCommand())
+		loadCommand(), judgeCommand(), sendCommand(), compareCommand(), stretchCommand(), rankCommand(), modelCommand())
 	return root
 }
 
--- /dev/null
+++ b/internal/standin/modeler/ways.go
@@ -0,0 +1,256 @@
+package modeler
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"oriolecourse.example/oriolecourse/internal/request/placer"
+)
+
+// Way is one way to place requests.
+type Way struct {
+	Name string
+	// Play plays a load with a seed.
+	Play func(l Load, seed int64) Result
+}
+
+// Ways are the ways that are compared.
+var Ways = []Way{
+	{"fresh reports", func(l Load, seed int64) Result { return playPlacer(l, seed, true) }},
+	{"old reports", func(l Load, seed int64) Result { return playPlacer(l, seed, false) }},
+	{"two choices", playTwo},
+	{"true state", playOracle},
+}
+
+// epoch is the start of virtual time for parts that take a time.Time.
+var epoch = time.Unix(1_000_000, 0)
+
+// entry is one entry instance with a placer.
+type entry struct {
+	world   *world
+	zone    int
+	placer  *placer.Placer
+	tickets map[*placer.Ticket]func(g *placer.Grant)
+	wake    time.Duration
+}
+
+// playPlacer places by the product's own decisions, with or without probes.
+func playPlacer(l Load, seed int64, probes bool) Result {
+	w := newWorld(l, seed)
+	var entries []*entry
+	for i := range l.Entries {
+		e := &entry{world: w, zone: i % l.Zones, tickets: map[*placer.Ticket]func(g *placer.Grant){}}
+		e.placer = placer.New(zoneName(e.zone), w.random.Float64, func(n int, _ time.Time) int {
+			if !probes {
+				return 0
+			}
+			return n
+		})
+		e.placer.SetTargets(w.listed())
+		entries = append(entries, e)
+	}
+	w.arrive(func(i int, k Kind, work time.Duration) { entries[i].take(k, work) })
+	w.run()
+	return w.result
+}
+
+func zoneName(zone int) string { return fmt.Sprint("zone ", zone) }
+
+func (w *world) listed() []placer.Target {
+	var all []placer.Target
+	for _, t := range w.targets {
+		all = append(all, placer.Target{
+			ID: fmt.Sprintf("%04d", t.index), Zone: zoneName(t.zone), Slots: w.load.Slots,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(t.index >> 8), byte(t.index)}), 80),
+		})
+	}
+	return all
+}
+
+func (e *entry) time() time.Time { return epoch.Add(e.world.now) }
+
+// take places a request.
+func (e *entry) take(k Kind, work time.Duration) {
+	w, came := e.world, e.world.now
+	t := &placer.Ticket{
+		Kind: k.Name, Priority: k.Priority, Careful: k.Careful, Arrived: e.time(),
+		Objective: e.time().Add(k.Objective), Limit: e.time().Add(k.Timeout), Span: k.Objective,
+	}
+	e.tickets[t] = func(g *placer.Grant) {
+		if g == nil {
+			w.result.Refused++
+			return
+		}
+		w.result.Wait += w.now - came
+		if g.Abroad {
+			w.result.Abroad++
+		}
+		target := w.target(g.Target.ID)
+		way := w.delay(e.zone, target)
+		w.after(way, func() {
+			w.serve(target, work, func() {
+				w.after(way, func() {
+					w.finish(k, came)
+					e.placer.End(g.Target.ID, t, placer.Served, e.time())
+					e.step()
+				})
+			})
+		})
+	}
+	e.placer.Submit(t)
+	e.step()
+}
+
+func (w *world) target(id string) *target {
+	i := 0
+	if _, err := fmt.Sscanf(id, "%d", &i); err != nil {
+		panic(err)
+	}
+	return w.targets[i]
+}
+
+// step carries out what the placer decides.
+func (e *entry) step() {
+	w := e.world
+	a := e.placer.Step(e.time())
+	for i := range a.Grants {
+		e.decide(a.Grants[i].Ticket, &a.Grants[i])
+	}
+	for i := range a.Refusals {
+		e.decide(a.Refusals[i].Ticket, nil)
+	}
+	for _, t := range a.Probes {
+		e.probe(t)
+	}
+	if due := a.Wake.Sub(epoch); !a.Wake.IsZero() && due != e.wake {
+		e.wake = due
+		w.after(due-w.now, func() {
+			if e.wake == due {
+				e.step()
+			}
+		})
+	}
+}
+
+func (e *entry) decide(t *placer.Ticket, g *placer.Grant) {
+	take := e.tickets[t]
+	delete(e.tickets, t)
+	take(g)
+}
+
+// probe asks a target for its load.
+func (e *entry) probe(t placer.Target) {
+	w, asked := e.world, e.time()
+	w.result.Probes++
+	target := w.target(t.ID)
+	way := w.delay(e.zone, target)
+	w.after(way, func() {
+		l := placer.Load{Running: target.running, Waiting: len(target.queue), Slots: w.load.Slots, Pace: w.pace(target)}
+		w.after(way, func() {
+			e.placer.Report(t.ID, l, asked, e.time())
+			e.step()
+		})
+	})
+}
+
+// playTwo sends each request at once to the less busy of two random targets of
+// the zone, by the entry's own counts: the common way without reports.
+func playTwo(l Load, seed int64) Result {
+	w := newWorld(l, seed)
+	own := make([]map[int]int, l.Entries)
+	for i := range own {
+		own[i] = map[int]int{}
+	}
+	w.arrive(func(i int, k Kind, work time.Duration) {
+		came := w.now
+		var near []*target
+		for _, t := range w.targets {
+			if t.zone == i%l.Zones {
+				near = append(near, t)
+			}
+		}
+		t := near[w.random.Intn(len(near))]
+		if o := near[w.random.Intn(len(near))]; own[i][o.index] < own[i][t.index] {
+			t = o
+		}
+		own[i][t.index]++
+		way := w.delay(i%l.Zones, t)
+		w.after(way, func() {
+			w.serve(t, work, func() {
+				w.after(way, func() { own[i][t.index]--; w.finish(k, came) })
+			})
+		})
+	})
+	w.run()
+	return w.result
+}
+
+// waiting is a request that waits for a target of the true state.
+type waiting struct {
+	kind Kind
+	came time.Duration
+	work time.Duration
+}
+
+// lookEvery is the time between two looks at the true state while requests wait.
+const lookEvery = time.Millisecond
+
+// playOracle places from one queue with the true state of all targets at hand and
+// no delays: what no system can reach.
+func playOracle(l Load, seed int64) Result {
+	w := newWorld(l, seed)
+	var queue []waiting
+	var look func()
+	looking := false
+	look = func() {
+		looking = false
+		kept := queue[:0]
+		for _, q := range queue {
+			t, factor := w.quickest()
+			needs := time.Duration(factor * float64(q.kind.Work))
+			late := w.now > q.came+q.kind.Objective-q.kind.Work
+			switch {
+			case w.now+q.kind.Work > q.came+q.kind.Timeout:
+				w.result.Refused++
+			case t == nil, !late && w.now+needs > q.came+q.kind.Objective, late && factor > 2:
+				kept = append(kept, q)
+			default:
+				w.result.Wait += w.now - q.came
+				w.serve(t, q.work, func() { w.finish(q.kind, q.came) })
+			}
+		}
+		queue = kept
+		if len(queue) > 0 && !looking {
+			looking = true
+			w.after(lookEvery, look)
+		}
+	}
+	w.arrive(func(_ int, k Kind, work time.Duration) {
+		queue = append(queue, waiting{kind: k, came: w.now, work: work})
+		if !looking {
+			look()
+		}
+	})
+	w.run()
+	return w.result
+}
+
+// quickest returns the free target at which work takes least now.
+func (w *world) quickest() (*target, float64) {
+	var best *target
+	least := 0.0
+	for _, t := range w.targets {
+		if t.running >= w.load.Slots {
+			continue
+		}
+		f := w.pace(t)
+		if float64(t.running+1) > w.load.Knee*float64(w.load.Slots) {
+			f *= w.load.KneeFactor
+		}
+		if best == nil || f < least {
+			best, least = t, f
+		}
+	}
+	return best, least
+}
