Refuse heads that tell two lengths or bad field names; test both ends of a request

Cause: TestNothingIsSmuggled ran a second request that stood in the body of one with a length and chunks, and a field name with a space was taken. A data race between the end of an answer and the next request was found by the same tests. A less urgent request that waits for a second is ordered by its own time (TestLessUrgentAreNotStarved).

--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -29,7 +29,6 @@
 type conn struct {
 	acceptor *Acceptor
 	socket   net.Conn
-	source   *source
 	reader   *bufio.Reader
 	queue    chan *exchange
 
@@ -43,8 +42,7 @@
 }
 
 func newConn(a *Acceptor, socket net.Conn) *conn {
-	s := &source{socket: socket}
-	return &conn{acceptor: a, socket: socket, source: s, reader: bufio.NewReader(s), queue: make(chan *exchange, ahead)}
+	return &conn{acceptor: a, socket: socket, reader: bufio.NewReader(socket), queue: make(chan *exchange, ahead)}
 }
 
 // serve reads requests until the client leaves or the connection has to end.
@@ -84,8 +82,7 @@
 // drain reads until the client closes; that it leaves cancels what still runs.
 func (c *conn) drain(cancel context.CancelFunc) {
 	_ = c.socket.SetReadDeadline(time.Time{})
-	c.source.left = unlimited
-	if _, err := io.Copy(io.Discard, c.source); !isTimeout(err) {
+	if _, err := io.Copy(io.Discard, c.socket); !isTimeout(err) {
 		cancel()
 	}
 }
@@ -112,7 +109,6 @@
 // await waits for the first byte of a request.
 func (c *conn) await() error {
 	c.rest()
-	c.source.left = unlimited
 	_, err := c.reader.Peek(1)
 	return err
 }
@@ -141,15 +137,13 @@
 // parse reads one request whole.
 func (c *conn) parse(limits Limits) (*Request, *exchange, error) {
 	_ = c.socket.SetReadDeadline(time.Now().Add(limits.Read))
-	// The buffer may take in a part of the body with the header.
-	c.source.left = limits.Header + c.reader.Size()
-	h, err := http.ReadRequest(c.reader)
+	head, err := readHead(c.reader, limits.Header)
 	if err != nil {
 		return nil, nil, c.refuseHeader(err)
 	}
-	c.source.left = unlimited
-	if h.ProtoMajor != 1 {
-		return nil, nil, &refusal{http.StatusHTTPVersionNotSupported, trace.BadParameter("the protocol %s is not spoken", h.Proto)}
+	h, err := parseHead(head)
+	if err != nil {
+		return nil, nil, err
 	}
 	if h.ContentLength > int64(limits.Body) {
 		return nil, nil, &refusal{http.StatusRequestEntityTooLarge, trace.LimitExceeded("a body of %d bytes", h.ContentLength)}
@@ -159,7 +153,7 @@
 			return nil, nil, trace.Wrap(err)
 		}
 	}
-	body, err := c.body(h.Body, limits.Body)
+	body, err := c.body(h, limits.Body)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -178,12 +172,12 @@
 }
 
 // body reads a body within the limits of this request and of the process.
-func (c *conn) body(r io.Reader, most int) ([]byte, error) {
-	if r == http.NoBody {
+func (c *conn) body(h *http.Request, most int) ([]byte, error) {
+	if h.ContentLength == 0 {
 		return nil, nil
 	}
 	b := &charged{held: &c.acceptor.held, most: c.acceptor.Memory}
-	body, err := io.ReadAll(io.LimitReader(io.TeeReader(&patient{c, r}, b), int64(most)+1))
+	body, err := io.ReadAll(io.LimitReader(io.TeeReader(&patient{c, bodyReader(c.reader, h)}, b), int64(most)+1))
 	switch {
 	case errors.Is(err, errMemory):
 		b.back()
@@ -194,6 +188,9 @@
 	case len(body) > most:
 		b.back()
 		return nil, &refusal{http.StatusRequestEntityTooLarge, trace.LimitExceeded("a body of more than %d bytes", most)}
+	case h.ContentLength > int64(len(body)):
+		b.back()
+		return nil, trace.Wrap(io.ErrUnexpectedEOF)
 	}
 	return body, nil
 }
@@ -202,7 +199,7 @@
 func (c *conn) refuseHeader(err error) error {
 	var operation *net.OpError
 	switch {
-	case c.source.left <= 0:
+	case errors.Is(err, errLongHead):
 		return &refusal{http.StatusRequestHeaderFieldsTooLarge, err}
 	case isTimeout(err):
 		return &refusal{http.StatusRequestTimeout, err}
@@ -237,7 +234,7 @@
 	case c.reading:
 	case c.ending:
 		_ = c.socket.SetReadDeadline(time.Unix(1, 0))
-	case c.pending > 0 || c.reader.Buffered() > 0:
+	case c.pending > 0:
 		_ = c.socket.SetReadDeadline(time.Time{})
 	default:
 		_ = c.socket.SetReadDeadline(time.Now().Add(c.acceptor.Limits().Idle))
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -45,9 +45,11 @@
 	soonest = 0.6
 	// workMemory is the weight of the newest request in the time of work of a kind.
 	workMemory = 0.1
-	// priorityStep is the advantage in waiting of one rank over the next; a bounded
-	// one, so that the less urgent are not starved.
+	// priorityStep is the advantage in waiting of one rank over the next.
 	priorityStep = 200 * time.Millisecond
+	// aging is the wait after which the rank counts no more, so that the less urgent
+	// are not starved.
+	aging = time.Second
 	// rateWindow is the time over which starts are counted to foresee the wait.
 	rateWindow = time.Second
 	// foreseen is the least number of waiting requests from which the wait is
@@ -101,7 +103,7 @@
 	for _, t := range targets {
 		s := p.targets[t.ID]
 		if s == nil {
-			s = newState(t)
+			s = newState(t, p.usual())
 		}
 		if !s.tells {
 			s.Slots = max(t.Slots, 1)
@@ -117,6 +119,19 @@
 	p.targets = next
 }
 
+// usual returns the mean speed of the targets, from which that of a new one starts:
+// speeds are relative to each other, not to a fixed measure.
+func (p *Placer) usual() float64 {
+	sum := 0.0
+	for _, s := range p.targets {
+		sum += s.own
+	}
+	if sum == 0 {
+		return 1
+	}
+	return sum / float64(len(p.targets))
+}
+
 // Submit adds a request; Step decides on it.
 func (p *Placer) Submit(t *Ticket) { p.waiting = append(p.waiting, t) }
 
--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -12,10 +12,16 @@
 	p.forget(now)
 	p.sort(now)
 	kept := p.waiting[:0]
+	deciding := false
 	for rank, t := range p.waiting {
-		if g, ok := p.choose(t, now); ok {
-			a.Grants = append(a.Grants, g)
-			continue
+		if !deciding {
+			g, ok, awaits := p.choose(t, now)
+			if ok {
+				a.Grants = append(a.Grants, g)
+				continue
+			}
+			// Nobody takes what a more urgent request may still choose.
+			deciding = awaits
 		}
 		if r, refused := p.refuse(t, rank-len(a.Grants)-len(a.Refusals), now); refused {
 			a.Refusals = append(a.Refusals, r)
@@ -44,43 +50,46 @@
 			}
 			return 1
 		}
-		return p.urgency(a, lateA).Compare(p.urgency(b, lateB))
+		return p.urgency(a, lateA, now).Compare(p.urgency(b, lateB, now))
 	})
 }
 
-func (p *Placer) urgency(t *Ticket, late bool) time.Time {
-	shift := time.Duration(t.Priority) * priorityStep
+// urgency is the time by which requests are ordered.
+func (p *Placer) urgency(t *Ticket, late bool, now time.Time) time.Time {
+	due := p.latest(t)
 	if late {
-		return t.Limit.Add(-p.need(t)).Add(shift)
+		due = t.Limit.Add(-p.need(t))
+	}
+	if now.Sub(t.Arrived) > aging {
+		return due
 	}
-	return p.latest(t).Add(shift)
+	return due.Add(time.Duration(t.Priority) * priorityStep)
 }
 
-// choose starts a request if there is a target to start it at now.
-func (p *Placer) choose(t *Ticket, now time.Time) (Grant, bool) {
+// choose starts a request if there is a target to start it at now. It also reports
+// whether there is one while a better answer is awaited.
+func (p *Placer) choose(t *Ticket, now time.Time) (g Grant, ok, awaits bool) {
 	best, factor := p.best(t, now)
 	if best == nil {
-		return Grant{}, false
+		return Grant{}, false, false
 	}
 	expected := time.Duration(factor * float64(p.need(t)))
 	ends := now.Add(expected)
 	late := now.After(p.latest(t))
 	switch {
+	case !late && ends.After(t.Objective), late && (factor > lateFactor || ends.After(t.Limit)):
+		return Grant{}, false, false
 	case factor > excellent && (p.asking(t, now) || t.tried == 0 && !p.blind):
-		return Grant{}, false
-	case !late && ends.After(t.Objective):
-		return Grant{}, false
-	case late && (factor > lateFactor || ends.After(t.Limit)):
-		return Grant{}, false
+		return Grant{}, false, true
 	}
-	g := Grant{
+	g = Grant{
 		Ticket: t, Target: best.Target, Expected: expected, Age: now.Sub(best.told),
 		Busy: best.busy(now), Late: late, Abroad: !p.near(best),
 	}
 	t.factor, t.expected = factor, expected
 	best.running[t] = now
 	p.starts = append(p.starts, now)
-	return g, true
+	return g, true, false
 }
 
 // best returns the target with a free slot at which a request would end first.
--- a/internal/request/placer/target.go
+++ b/internal/request/placer/target.go
@@ -105,8 +105,8 @@
 	own float64
 }
 
-func newState(t Target) *state {
-	return &state{Target: t, running: map[*Ticket]time.Time{}, own: 1}
+func newState(t Target, own float64) *state {
+	return &state{Target: t, running: map[*Ticket]time.Time{}, own: own}
 }
 
 // busy estimates the requests at the target now, those of others included. A
