--- a/internal/process/forwarder/race.go
+++ b/internal/process/forwarder/race.go
@@ -63,7 +63,7 @@
 	refusal *placer.Refusal
 }
 
-func newRace(r *request, ctx context.Context) *race {
+func newRace(ctx context.Context, r *request) *race {
 	e := &race{request: r, decisions: make(chan decision, tries+2), results: make(chan result, tries+2)}
 	e.ctx, e.cancel = context.WithCancel(ctx)
 	e.hedge = time.NewTimer(time.Hour)
--- a/internal/process/forwarder/request.go
+++ b/internal/process/forwarder/request.go
@@ -132,7 +132,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.limit.Add(overrun))
 	defer cancel()
-	return newRace(r, ctx).run()
+	return newRace(ctx, r).run()
 }
 
 // ticket returns what the placer has to know of the request.
