--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -214,7 +214,8 @@
 		return nil
 	}
 	targets, abroad := p.askable(t, now)
-	if t.tried >= homeRounds && t.tried%2 == 0 || len(targets) < 2 || t.Extra {
+	inTime := !now.After(p.latest(t))
+	if inTime && t.tried >= homeRounds && t.tried%2 == 0 || len(targets) < 2 || t.Extra {
 		targets = append(targets, abroad...)
 	}
 	granted := p.Allow(len(targets), now)
