--- a/internal/process/commander/operations_test.go
+++ b/internal/process/commander/operations_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"oriolecourse.example/oriolecourse/internal/process/journaler"
 )
 
 // logLine matches the message of a log line in the code.
@@ -21,6 +23,13 @@
 	for _, o := range serveOptions {
 		require.Contains(t, page, "`--"+o.name+"`", "the page names the flag")
 	}
+	// The lines of an instance on a platform have a page of their own, printed from
+	// their records, which a test of the adapter compares.
+	require.Contains(t, page, "(LOGS.md)")
+	recorded := map[string]bool{}
+	for _, l := range journaler.Lines {
+		recorded[l.Message] = true
+	}
 	lines := 0
 	err = filepath.WalkDir("..", func(path string, _ fs.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
@@ -29,6 +38,9 @@
 		code, err := os.ReadFile(path)
 		for _, found := range logLine.FindAllStringSubmatch(string(code), -1) {
 			lines++
+			if recorded[found[1]] {
+				continue
+			}
 			require.Contains(t, page, "`"+found[1]+"`", "the page explains the line logged in %s", path)
 		}
 		return err
--- a/internal/process/commander/trace.go
+++ b/internal/process/commander/trace.go
@@ -8,8 +8,8 @@
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 
-	"oriolecourse.example/oriolecourse/internal/process/journaler"
 	"oriolecourse.example/oriolecourse/internal/process/correlator"
+	"oriolecourse.example/oriolecourse/internal/process/journaler"
 )
 
 func newTrace() *cobra.Command {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -56,3 +56,6 @@
 unset 'PIDS[load]'
 say "the load has ended"
 "$BIN/standin" judge --record "http://$recorder" "$OUT/result.json"
+
+say "a calm day through the platform's adapter: a store, 8 targets, 6 instances"
+"$BIN/standin" soak --binary "$BIN/oriolecourse" --directory "$OUT/platform" --length 0s
