Ask four targets of the zone, and ping within the zone every 200 ms

Cause: a stopped or frozen instance stayed in the directory's answers for up to a round of pings, 2.5 s; and a fifth and sixth target asked are rarely the one chosen. Ruled out: answers of the directory kept for one second in place of two (no change).

--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -37,9 +37,12 @@
 	// trust is how long a starting instance waits for the platform, or for a peer
 	// that vouches, before it serves by documents of peers alone.
 	trust = 2500 * time.Millisecond
+	// pingPeriod is the time between two pings of an instance. Its zone is a handful of
+	// instances, and clients are told of one that is silent within a round.
+	pingPeriod = 200 * time.Millisecond
 	// remotePings is the number of ping periods between pings to other zones. What
 	// is known of these matters only when few instances of the own zone are left.
-	remotePings = 24
+	remotePings = 60
 	// memoryShare is the part of the memory that request bodies may use.
 	memoryShare = 0.25
 	// reservedFiles are descriptors that are not used for clients.
@@ -119,7 +122,7 @@
 		Lost: i.spreadLoss, Left: i.targetLeft, Logger: o.Logger, Scope: o.Scope,
 	})
 	i.relayer = relayer.New(relayer.Options{
-		Self: i.self, Incarnation: rand.Uint64() | 1, Seeds: o.Seeds, Remote: remotePings,
+		Self: i.self, Incarnation: rand.Uint64() | 1, Seeds: o.Seeds, Period: pingPeriod, Remote: remotePings,
 		Keys:      func() framer.Keys { return o.Keys },
 		Documents: i.document, Offer: i.offered, Rumor: i.hear, Vouched: i.vouched, Current: i.current, Members: i.membersChanged,
 		Logger: o.Logger, Scope: o.Scope,
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -22,7 +22,7 @@
 	poll = 20 * time.Millisecond
 	// nearFan and farFan are the numbers of targets that a round asks in the own zone and
 	// in others.
-	nearFan = 6
+	nearFan = 4
 	farFan  = 3
 	// homeRounds is the number of rounds after which targets of other zones are
 	// asked too: bytes between zones cost more than a short wait.
