--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -1,6 +1,7 @@
 package composer
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -43,6 +44,13 @@
 	// remotePings is the number of ping periods between pings to other zones. What
 	// is known of these matters only when few instances of the own zone are left.
 	remotePings = 60
+	// pageTimeout bounds the header of a question to the directory or to the
+	// platform's pages, pageIdle the time between two of them; clients ask each second
+	// or so.
+	pageTimeout = time.Second
+	pageIdle    = 10 * time.Second
+	// readyEvery is the time between two looks whether a starting instance is ready.
+	readyEvery = 5 * time.Millisecond
 	// memoryShare is the part of the memory that request bodies may use.
 	memoryShare = 0.25
 	// reservedFiles are descriptors that are not used for clients.
@@ -129,7 +137,7 @@
 	})
 	source := o.Source(Offer{Table: i.offerTable, List: i.offerList})
 	i.syncer = &syncer.Syncer{
-		Self: o.Peer, Refresh: source.Refresh, Await: source.Await,
+		Refresh: source.Refresh, Await: source.Await,
 		Before: i.before, Vouch: func(time.Time) { i.relayer.Vouch() }, Logger: o.Logger,
 	}
 	i.syncer.Prepare()
@@ -177,7 +185,7 @@
 	if err != nil {
 		return trace.Wrap(err, "listening on %s", address)
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second, IdleTimeout: 10 * time.Second}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: pageTimeout, IdleTimeout: pageIdle}
 	g.Add(func() error { return s.Serve(l) }, func(error) { s.Close() })
 	return nil
 }
@@ -185,7 +193,7 @@
 // enter makes the instance ready once its documents can be relied on.
 func (i *Instance) enter(ctx context.Context) error {
 	go i.askPeers(ctx)
-	ticker := time.NewTicker(5 * time.Millisecond)
+	ticker := time.NewTicker(readyEvery)
 	defer ticker.Stop()
 	for !i.settled(time.Now()) {
 		select {
@@ -261,10 +269,14 @@
 	if t == nil {
 		return defaultLimits
 	}
-	return acceptor.Limits{Header: t.Limits.Header, Body: t.Limits.Body, Read: t.Limits.Read, Idle: t.Limits.Idle}
+	return acceptor.Limits{
+		Header: cmp.Or(t.Limits.Header, defaultLimits.Header), Body: cmp.Or(t.Limits.Body, defaultLimits.Body),
+		Read: cmp.Or(t.Limits.Read, defaultLimits.Read), Idle: cmp.Or(t.Limits.Idle, defaultLimits.Idle),
+	}
 }
 
-// defaultLimits hold until the first settings are known.
+// defaultLimits hold until the first settings are known, and for what these leave
+// out. They are those of common servers.
 var defaultLimits = acceptor.Limits{Header: 16 << 10, Body: 1 << 20, Read: 3 * time.Second, Idle: 15 * time.Second}
 
 func (i *Instance) clientFailed(remote string, status int, cause error) {
--- a/internal/process/forwarder/race.go
+++ b/internal/process/forwarder/race.go
@@ -66,7 +66,7 @@
 func newRace(ctx context.Context, r *request) *race {
 	e := &race{request: r, decisions: make(chan decision, tries+2), results: make(chan result, tries+2)}
 	e.ctx, e.cancel = context.WithCancel(ctx)
-	e.hedge = time.NewTimer(time.Hour)
+	e.hedge = time.NewTimer(never)
 	return e
 }
 
@@ -180,7 +180,7 @@
 		}
 		e.last = r.answer
 	}
-	if e.running+e.placing == 0 && e.repeatable(r) && now.Before(e.limit) {
+	if e.running+e.placing == 0 && now.Before(e.limit) && e.repeatable(r, now) {
 		e.place(false)
 	}
 	return nil
@@ -188,7 +188,7 @@
 
 // repeatable reports whether the request may go to another target after an
 // attempt, and takes what that costs from the budget.
-func (e *race) repeatable(r result) bool {
+func (e *race) repeatable(r result, now time.Time) bool {
 	switch {
 	case len(e.avoid) >= tries || e.sent >= e.route.Attempts:
 		return false
@@ -197,7 +197,7 @@
 	case r.effect != sender.Disowned && !e.route.Idempotent:
 		return false
 	}
-	return e.forwarder.again(time.Now())
+	return e.forwarder.again(now)
 }
 
 // second tries another target beside one that takes much longer than expected,
--- a/internal/process/forwarder/request.go
+++ b/internal/process/forwarder/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -9,6 +10,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/gravitational/trace"
 
 	"oriolecourse.example/oriolecourse/internal/connection/acceptor"
 	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
@@ -94,7 +96,13 @@
 		return route.Timeout, nil
 	}
 	ms, err := strconv.ParseFloat(text, 64)
-	return time.Duration(ms * float64(time.Millisecond)), err
+	if err == nil && !(ms >= 0 && ms <= float64(math.MaxInt64/time.Millisecond)) {
+		err = trace.BadParameter("a deadline of %s ms", text)
+	}
+	if err != nil {
+		return 0, err
+	}
+	return time.Duration(ms * float64(time.Millisecond)), nil
 }
 
 // finish counts and logs the end of a request.
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -23,6 +23,8 @@
 	// connectionShare is the part of a target's connections that the fleet uses;
 	// instances that are not known here use the rest.
 	connectionShare = 0.7
+	// never is the time of a timer that is set later.
+	never = 24 * time.Hour
 	// connectionLeast is the number of connections that an instance may always open.
 	connectionLeast = 3
 )
@@ -51,7 +53,7 @@
 func newService(f *Forwarder, name string) *service {
 	s := &service{forwarder: f, name: name, waiting: map[*placer.Ticket]chan decision{}}
 	s.placer = placer.New(f.options.Zone, rand.Float64, s.allow)
-	s.timer = time.AfterFunc(time.Hour, s.wake)
+	s.timer = time.AfterFunc(never, s.wake)
 	return s
 }
 
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -48,7 +48,8 @@
 	state State
 	// warm is when the run reaches its usual speed.
 	warm time.Time
-	// until is when a Missing run is gone.
+	// until is when a Missing run is gone, or when a run was found to be gone. One
+	// that only its entry had lapsed of may be listed again.
 	until time.Time
 	// left is when the run was said to be leaving, or was found gone by contact.
 	left time.Time
@@ -116,10 +117,7 @@
 	case e.state == Missing && now.Before(e.until):
 	case e.state != Gone:
 		r.set(e, Gone, "list")
-		if e.left.IsZero() {
-			// It may be listed again, if only its entry had lapsed.
-			e.until = now
-		}
+		e.until = now
 	}
 }
 
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -25,7 +25,6 @@
 // Syncer reads from the platform when it is the instance's turn. Its fields are
 // set before Run.
 type Syncer struct {
-	Self netip.AddrPort
 	// Refresh reads everything anew.
 	Refresh func(ctx context.Context) error
 	// Await waits for changes since the last read and takes them in; without any it
@@ -51,7 +50,7 @@
 // Prepare readies the syncer for Run and Stop, which may then be called in any
 // order.
 func (s *Syncer) Prepare() {
-	s.turn = Turn{Self: s.Self, Random: rand.Float64}
+	s.turn = Turn{Random: rand.Float64}
 	s.done = make(chan struct{})
 	s.context, s.cancel = context.WithCancel(context.Background())
 }
--- a/internal/process/syncer/syncer_test.go
+++ b/internal/process/syncer/syncer_test.go
@@ -27,8 +27,8 @@
 
 func newSim(n int, random *rand.Rand) *sim {
 	s := &sim{down: make([]bool, n), cut: make([]bool, n), next: make([]time.Time, n), current: make([]time.Time, n)}
-	for i := range n {
-		s.turns = append(s.turns, &Turn{Self: peer(i), Random: random.Float64})
+	for range n {
+		s.turns = append(s.turns, &Turn{Random: random.Float64})
 	}
 	return s
 }
@@ -87,7 +87,7 @@
 					if s.down[i] {
 						disturbed = now
 					} else {
-						s.next[i], s.current[i], s.turns[i] = now, now, &Turn{Self: peer(i), Random: random.Float64}
+						s.next[i], s.current[i], s.turns[i] = now, now, &Turn{Random: random.Float64}
 					}
 				}
 				if random.Intn(300) == 0 {
@@ -123,7 +123,7 @@
 }
 
 func TestFailedCallsAreSpaced(t *testing.T) {
-	turn := &Turn{Self: peer(0), Random: func() float64 { return 0 }}
+	turn := &Turn{Random: func() float64 { return 0 }}
 	now, calls := time.Unix(0, 0), 0
 	for end := now.Add(10 * time.Second); now.Before(end); now = now.Add(time.Millisecond) {
 		if due, _ := turn.Due(now, nil); due {
--- a/internal/process/syncer/turn.go
+++ b/internal/process/syncer/turn.go
@@ -24,7 +24,6 @@
 // Turn decides when an instance reads from the platform. It has no input or
 // output and is not safe for concurrent use.
 type Turn struct {
-	Self netip.AddrPort
 	// Random returns a number from 0 up to 1.
 	Random func() float64
 
--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -86,7 +86,7 @@
 		Ticket: t, Target: best.Target, Expected: expected, Age: now.Sub(best.told),
 		Busy: best.busy(now), Late: late, Abroad: !p.near(best),
 	}
-	t.factor, t.expected = factor, expected
+	t.factor = factor
 	best.running[t] = now
 	p.starts = append(p.starts, now)
 	return g, true, false
--- a/internal/request/placer/ticket.go
+++ b/internal/request/placer/ticket.go
@@ -27,14 +27,10 @@
 
 	// tried counts the rounds of probes since the request came.
 	tried int
-	// factor and expected are what the grant was based on.
-	factor   float64
-	expected time.Duration
+	// factor is what the grant was based on.
+	factor float64
 }
 
-// Expected returns how long the request was expected to take at its grant.
-func (t *Ticket) Expected() time.Duration { return t.expected }
-
 // Grant tells to send a request to a target.
 type Grant struct {
 	Ticket *Ticket
--- a/internal/standin/modeler/model.go
+++ b/internal/standin/modeler/model.go
@@ -1,11 +1,11 @@
 package modeler
 
 import (
-	"cmp"
-	"container/heap"
 	"math"
 	"math/rand"
 	"time"
+
+	"oriolecourse.example/oriolecourse/internal/standin/scheduler"
 )
 
 // Kind is one kind of request.
@@ -64,36 +64,13 @@
 	return float64(r.InObjective+r.Late) / float64(max(r.Requests, 1))
 }
 
-// event is something that happens in virtual time.
-type event struct {
-	at       time.Duration
-	sequence int
-	do       func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].sequence, e[j].sequence)) < 0
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // world is one play.
 type world struct {
-	load     Load
-	random   *rand.Rand
-	now      time.Duration
-	sequence int
-	events   events
-	targets  []*target
-	result   Result
+	scheduler.Clock
+	load    Load
+	random  *rand.Rand
+	targets []*target
+	result  Result
 }
 
 // target is one target; it takes requests beyond its slots into a queue.
@@ -113,23 +90,14 @@
 	return w
 }
 
-// after runs something later.
-func (w *world) after(d time.Duration, do func()) {
-	w.sequence++
-	heap.Push(&w.events, event{at: w.now + d, sequence: w.sequence, do: do})
-}
-
 func (w *world) run() {
-	for len(w.events) > 0 {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.do()
+	for w.Step(math.MaxInt64) {
 	}
 }
 
 // pace is how much longer work takes at a target now.
 func (w *world) pace(t *target) float64 {
-	step := uint64(w.now / w.load.SlowEvery)
+	step := uint64(w.Now / w.load.SlowEvery)
 	// Drawn anew in each step, the same for all who ask.
 	x := (t.salt ^ step*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
 	x ^= x >> 29
@@ -158,7 +126,7 @@
 	if float64(t.running) > w.load.Knee*float64(w.load.Slots) {
 		factor *= w.load.KneeFactor
 	}
-	w.after(time.Duration(float64(work)*factor), func() {
+	w.After(time.Duration(float64(work)*factor), func() {
 		t.running--
 		if len(t.queue) > 0 {
 			next := t.queue[0]
@@ -184,11 +152,11 @@
 // arrive lets requests come in until the end, each at an entry of its zone.
 func (w *world) arrive(take func(entry int, k Kind, work time.Duration)) {
 	rate := w.load.Rate
-	if w.now >= w.load.BurstFrom && w.now < w.load.BurstTo {
+	if w.Now >= w.load.BurstFrom && w.Now < w.load.BurstTo {
 		rate *= w.load.Burst
 	}
-	w.after(time.Duration(w.random.ExpFloat64()/rate*float64(time.Second)), func() {
-		if w.now >= w.load.Length {
+	w.After(time.Duration(w.random.ExpFloat64()/rate*float64(time.Second)), func() {
+		if w.Now >= w.load.Length {
 			return
 		}
 		entry := w.random.Intn(w.load.Entries)
@@ -204,7 +172,7 @@
 
 // finish counts the end of a request that came at a time.
 func (w *world) finish(k Kind, came time.Duration) {
-	switch took := w.now - came; {
+	switch took := w.Now - came; {
 	case took <= k.Objective:
 		w.result.InObjective++
 	case took <= k.Timeout:
--- a/internal/standin/modeler/ways.go
+++ b/internal/standin/modeler/ways.go
@@ -68,11 +68,11 @@
 	return all
 }
 
-func (e *entry) time() time.Time { return epoch.Add(e.world.now) }
+func (e *entry) time() time.Time { return epoch.Add(e.world.Now) }
 
 // take places a request.
 func (e *entry) take(k Kind, work time.Duration) {
-	w, came := e.world, e.world.now
+	w, came := e.world, e.world.Now
 	t := &placer.Ticket{
 		Kind: k.Name, Priority: k.Priority, Careful: k.Careful, Arrived: e.time(),
 		Objective: e.time().Add(k.Objective), Limit: e.time().Add(k.Timeout), Span: k.Objective,
@@ -82,15 +82,15 @@
 			w.result.Refused++
 			return
 		}
-		w.result.Wait += w.now - came
+		w.result.Wait += w.Now - came
 		if g.Abroad {
 			w.result.Abroad++
 		}
 		target := w.target(g.Target.ID)
 		way := w.delay(e.zone, target)
-		w.after(way, func() {
+		w.After(way, func() {
 			w.serve(target, work, func() {
-				w.after(way, func() {
+				w.After(way, func() {
 					w.finish(k, came)
 					e.placer.End(g.Target.ID, t, placer.Served, e.time())
 					e.step()
@@ -125,7 +125,7 @@
 	}
 	if due := a.Wake.Sub(epoch); !a.Wake.IsZero() && due != e.wake {
 		e.wake = due
-		w.after(due-w.now, func() {
+		w.After(due-w.Now, func() {
 			if e.wake == due {
 				e.step()
 			}
@@ -145,9 +145,9 @@
 	w.result.Probes++
 	target := w.target(t.ID)
 	way := w.delay(e.zone, target)
-	w.after(way, func() {
+	w.After(way, func() {
 		l := placer.Load{Running: target.running, Waiting: len(target.queue), Slots: w.load.Slots, Pace: w.pace(target)}
-		w.after(way, func() {
+		w.After(way, func() {
 			e.placer.Report(t.ID, l, asked, e.time())
 			e.step()
 		})
@@ -163,7 +163,7 @@
 		own[i] = map[int]int{}
 	}
 	w.arrive(func(i int, k Kind, work time.Duration) {
-		came := w.now
+		came := w.Now
 		var near []*target
 		for _, t := range w.targets {
 			if t.zone == i%l.Zones {
@@ -176,9 +176,9 @@
 		}
 		own[i][t.index]++
 		way := w.delay(i%l.Zones, t)
-		w.after(way, func() {
+		w.After(way, func() {
 			w.serve(t, work, func() {
-				w.after(way, func() { own[i][t.index]--; w.finish(k, came) })
+				w.After(way, func() { own[i][t.index]--; w.finish(k, came) })
 			})
 		})
 	})
@@ -209,25 +209,25 @@
 		for _, q := range queue {
 			t, factor := w.quickest()
 			needs := time.Duration(factor * float64(q.kind.Work))
-			late := w.now > q.came+q.kind.Objective-q.kind.Work
+			late := w.Now > q.came+q.kind.Objective-q.kind.Work
 			switch {
-			case w.now+q.kind.Work > q.came+q.kind.Timeout:
+			case w.Now+q.kind.Work > q.came+q.kind.Timeout:
 				w.result.Refused++
-			case t == nil, !late && w.now+needs > q.came+q.kind.Objective, late && factor > 2:
+			case t == nil, !late && w.Now+needs > q.came+q.kind.Objective, late && factor > 2:
 				kept = append(kept, q)
 			default:
-				w.result.Wait += w.now - q.came
+				w.result.Wait += w.Now - q.came
 				w.serve(t, q.work, func() { w.finish(q.kind, q.came) })
 			}
 		}
 		queue = kept
 		if len(queue) > 0 && !looking {
 			looking = true
-			w.after(lookEvery, look)
+			w.After(lookEvery, look)
 		}
 	}
 	w.arrive(func(_ int, k Kind, work time.Duration) {
-		queue = append(queue, waiting{kind: k, came: w.now, work: work})
+		queue = append(queue, waiting{kind: k, came: w.Now, work: work})
 		if !looking {
 			look()
 		}
--- a/internal/standin/ranker/ranking.go
+++ b/internal/standin/ranker/ranking.go
@@ -87,7 +87,7 @@
 			if target.Slowness > 2 {
 				r.Queued = worldSlots
 			}
-			f.world.after(foreignDelay, func() {
+			f.world.After(foreignDelay, func() {
 				for other, d := range f.homes {
 					if other != home {
 						d.Hear(target.Address, r, at)
@@ -98,7 +98,7 @@
 			})
 		}
 	}
-	f.world.after(every, func() { f.tell(every) })
+	f.world.After(every, func() { f.tell(every) })
 }
 
 func zone(i int) string { return string(rune('a' + i%worldZones)) }
@@ -106,7 +106,7 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)
 }
 
-func (f *fleet) at() time.Time { return time.Unix(0, int64(f.world.now)) }
+func (f *fleet) at() time.Time { return time.Unix(0, int64(f.world.Now)) }
 
 // attempt is a try with its lease.
 type attempt struct {
@@ -115,7 +115,7 @@
 }
 
 func (f *fleet) start(p resolver.Priority) {
-	w, arrived, home := f.world, f.world.now, f.world.random.Intn(len(f.homes))
+	w, arrived, home := f.world, f.world.Now, f.world.random.Intn(len(f.homes))
 	want := dispatcher.Want{Policy: f.policies[p]}
 	attempts, done := []attempt{}, false
 	send := func(l *dispatcher.Lease) {
@@ -125,7 +125,7 @@
 				return
 			}
 			done = true
-			w.latencies[p] = append(w.latencies[p], w.now+callerDelay-arrived)
+			w.latencies[p] = append(w.latencies[p], w.Now+callerDelay-arrived)
 			for _, a := range attempts {
 				if a.try == t {
 					l.Release(dispatcher.Result{Kind: retrier.Done, Report: r}, f.at())
@@ -139,7 +139,7 @@
 		attempts = append(attempts, attempt{try: t, lease: l})
 		w.servers[l.Target.Addr().As4()[3]].send(t, home)
 	}
-	w.after(callerDelay, func() {
+	w.After(callerDelay, func() {
 		f.acquire(home, want, func(l *dispatcher.Lease) {
 			send(l)
 			want.Exclude = []netip.AddrPort{l.Target}
@@ -159,7 +159,7 @@
 		f.world.refused++
 	default:
 		f.waiting[home] = append(f.waiting[home], &waiter{ticket: answer.Ticket, leased: leased})
-		f.world.after(answer.Ticket.Until().Sub(f.at()), func() {
+		f.world.After(answer.Ticket.Until().Sub(f.at()), func() {
 			f.homes[home].Expire(f.at())
 			f.settle(home)
 		})
@@ -196,9 +196,9 @@
 			send(l)
 			return
 		}
-		f.world.after(dispatcher.HedgePause(delay), attempt)
+		f.world.After(dispatcher.HedgePause(delay), attempt)
 	}
-	f.world.after(delay, attempt)
+	f.world.After(delay, attempt)
 }
 
 // with returns the variant with some of its mechanisms.
--- a/internal/standin/ranker/ways.go
+++ b/internal/standin/ranker/ways.go
@@ -19,12 +19,12 @@
 	return way{name: name, setup: func(w *world) func(resolver.Priority) {
 		pick, ended := setup(w)
 		return func(p resolver.Priority) {
-			arrived, home := w.now, w.random.Intn(homes)
-			w.after(callerDelay, func() {
-				index, sent := pick(home), w.now
+			arrived, home := w.Now, w.random.Intn(homes)
+			w.After(callerDelay, func() {
+				index, sent := pick(home), w.Now
 				w.servers[index].send(&try{ended: func(dispatcher.Report) {
-					ended(home, index, w.now-sent)
-					w.latencies[p] = append(w.latencies[p], w.now+callerDelay-arrived)
+					ended(home, index, w.Now-sent)
+					w.latencies[p] = append(w.latencies[p], w.Now+callerDelay-arrived)
 				}}, home)
 			})
 		}
--- a/internal/standin/ranker/world.go
+++ b/internal/standin/ranker/world.go
@@ -1,12 +1,12 @@
 package ranker
 
 import (
-	"container/heap"
 	"math/rand"
 	"slices"
 	"time"
 
 	"oriolecourse.example/oriolecourse/internal/process/dispatcher"
+	"oriolecourse.example/oriolecourse/internal/standin/scheduler"
 	"oriolecourse.example/oriolecourse/internal/version/resolver"
 )
 
@@ -27,32 +27,9 @@
 	callerPatient = 250 * time.Millisecond
 )
 
-// event is something that happens in virtual time.
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // world is one service's fake targets in virtual time.
 type world struct {
-	now     time.Duration
-	seq     int
-	events  events
+	scheduler.Clock
 	random  *rand.Rand
 	servers []*server
 	// mix holds the priorities of the arriving requests.
@@ -101,16 +78,8 @@
 	return time.Duration(w.random.ExpFloat64() * float64(mean))
 }
 
-func (w *world) after(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.events, event{at: w.now + d, seq: w.seq, do: do})
-}
-
 func (w *world) run(until time.Duration) {
-	for len(w.events) > 0 && w.events[0].at < until {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.do()
+	for w.Step(until) {
 	}
 }
 
@@ -120,18 +89,18 @@
 	quiet := (1 - burstFactor*float64(burstLength)/float64(burstEvery)) / (1 - float64(burstLength)/float64(burstEvery))
 	var next func()
 	next = func() {
-		if w.now > length {
+		if w.Now > length {
 			return
 		}
 		rate := quiet
-		if w.now%burstEvery < burstLength {
+		if w.Now%burstEvery < burstLength {
 			rate = burstFactor
 		}
-		w.after(w.exponential(time.Duration(float64(mean)/rate)), next)
+		w.After(w.exponential(time.Duration(float64(mean)/rate)), next)
 		w.firsts++
 		start(w.mix[w.random.Intn(len(w.mix))])
 	}
-	w.after(0, next)
+	w.After(0, next)
 }
 
 // The mixes of priorities that are ranked.
@@ -144,7 +113,7 @@
 )
 
 // slowNow tells whether the server is slow at the moment.
-func (s *server) slowNow() bool { return s.phase(s.world.now)%2 == 1 }
+func (s *server) slowNow() bool { return s.phase(s.world.Now)%2 == 1 }
 
 func (s *server) phase(at time.Duration) int {
 	i, found := slices.BinarySearch(s.slow, at)
@@ -156,11 +125,11 @@
 
 // elapsed returns how long work takes that starts now.
 func (s *server) elapsed(work time.Duration) time.Duration {
-	at, left := s.world.now, work
+	at, left := s.world.Now, work
 	for i := s.phase(at); ; i++ {
 		pace := time.Duration(1 + i%2*(slowFactor-1))
 		if i >= len(s.slow) || at+left*pace <= s.slow[i] {
-			return at + left*pace - s.world.now
+			return at + left*pace - s.world.Now
 		}
 		left -= (s.slow[i] - at) / pace
 		at = s.slow[i]
@@ -181,8 +150,8 @@
 func (s *server) send(t *try, instance int) {
 	t.server, t.work = s, s.world.exponential(meanWork)
 	answered := t.ended
-	t.ended = func(r dispatcher.Report) { s.world.after(s.delay(instance), func() { answered(r) }) }
-	s.world.after(s.delay(instance), func() {
+	t.ended = func(r dispatcher.Report) { s.world.After(s.delay(instance), func() { answered(r) }) }
+	s.world.After(s.delay(instance), func() {
 		s.queue = append(s.queue, t)
 		s.next()
 	})
@@ -193,7 +162,7 @@
 		t := s.queue[0]
 		s.queue = s.queue[1:]
 		s.running = append(s.running, t)
-		s.world.after(s.elapsed(t.work), func() { s.finish(t) })
+		s.world.After(s.elapsed(t.work), func() { s.finish(t) })
 	}
 }
 
@@ -216,7 +185,7 @@
 
 // cancel lets a cancellation arrive at the try's server.
 func (t *try) cancel(instance int) {
-	t.server.world.after(t.server.delay(instance), func() {
+	t.server.world.After(t.server.delay(instance), func() {
 		if !t.gone {
 			t.server.drop(t)
 		}
