--- a/internal/process/journaler/journaler_test.go
+++ b/internal/process/journaler/journaler_test.go
@@ -58,3 +58,28 @@
 	require.Contains(t, w.String(), "msg=once")
 	require.Contains(t, w.String(), `kind=often count=840`)
 }
+
+// BenchmarkLine measures what one line costs the one who logs, with a reader that
+// reads and one that does not.
+func BenchmarkLine(b *testing.B) {
+	for name, stall := range map[string]bool{"read": false, "stalled": true} {
+		b.Run(name, func(b *testing.B) {
+			w := &stalled{release: make(chan struct{})}
+			if !stall {
+				close(w.release)
+			}
+			now := time.Unix(0, 0)
+			// Each line comes a second after the one before, so that no rate holds it back.
+			j := New(w, func() time.Time { now = now.Add(time.Second); return now }, tally.NoopScope)
+			b.ReportAllocs()
+			for b.Loop() {
+				_ = level.Info(j).Log("request", "9c41d07be2a35f68", "msg", "placed", "service", "parts", "target", "i-1/1",
+					"waited", time.Millisecond, "expected", 160*time.Millisecond, "age", time.Millisecond, "busy", 1, "late", false)
+			}
+			if stall {
+				close(w.release)
+			}
+			j.Close()
+		})
+	}
+}
