--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -58,11 +58,11 @@
 )
 
 // Source reads the platform's data and hands it over.
-type Source interface {
+type Source struct {
 	// Refresh reads everything anew.
-	Refresh(ctx context.Context) error
+	Refresh func(ctx context.Context) error
 	// Await waits for changes; without any it returns after the wait.
-	Await(ctx context.Context, wait time.Duration) error
+	Await func(ctx context.Context, wait time.Duration) error
 }
 
 // Options holds what an instance is built from.
--- a/internal/process/forwarder/request.go
+++ b/internal/process/forwarder/request.go
@@ -51,7 +51,6 @@
 	service   *service
 	route     *router.Route
 	version   uint64
-	id        string
 	// limit is when the request is given up.
 	limit       time.Time
 	fingerprint quarantiner.Fingerprint
@@ -80,7 +79,7 @@
 		return f.finish(logger, "", malformed, now, &acceptor.Answer{Status: http.StatusBadRequest})
 	}
 	r := &request{
-		Request: q, forwarder: f, route: route, version: table.Version, id: id,
+		Request: q, forwarder: f, route: route, version: table.Version,
 		service: f.service(f.splitter.Pick(route)),
 		limit:   now.Add(min(left, route.Timeout)), logger: logger,
 	}
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -7,17 +7,17 @@
 
 // Timing of the choice.
 const (
-	// Fresh is the age up to which a report is chosen by. Speeds change every
+	// freshness is the age up to which a report is chosen by. Speeds change every
 	// tenth of a second or so.
-	Fresh = 6 * time.Millisecond
+	freshness = 6 * time.Millisecond
 	// stale is the age from which a report says nothing; up to it, a choice without
 	// probes goes by it.
 	stale = 500 * time.Millisecond
 	// deafRounds is the number of rounds without any answer after which a request
 	// goes by own counts.
 	deafRounds = 2
-	// Patience is how long a probe is waited for.
-	Patience = 30 * time.Millisecond
+	// patience is how long a probe is waited for.
+	patience = 30 * time.Millisecond
 	// poll is the time between two rounds of probes while requests wait.
 	poll = 20 * time.Millisecond
 	// nearFan and farFan are the numbers of targets that a round asks in the own zone and
--- a/internal/request/placer/placer_test.go
+++ b/internal/request/placer/placer_test.go
@@ -288,7 +288,7 @@
 	for range 8 {
 		silent.Silent("a0", silent.now)
 		silent.Silent("a1", silent.now)
-		if a := silent.after(poll + Patience).Step(silent.now); len(a.Grants) == 1 {
+		if a := silent.after(poll + patience).Step(silent.now); len(a.Grants) == 1 {
 			return
 		}
 	}
--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -96,7 +96,7 @@
 // Among those that are about equal it draws one of the own zone if there is any;
 // a target that has joined thus gets its share. Without reports all are equal.
 func (p *Placer) best(t *Ticket, now time.Time) (*state, float64) {
-	age := Fresh
+	age := freshness
 	if p.blind {
 		age = stale
 	}
@@ -160,7 +160,7 @@
 // still awaited.
 func (p *Placer) asking(t *Ticket, now time.Time) bool {
 	for _, s := range p.usable(t, now) {
-		if !s.probe.IsZero() && now.Sub(s.probe) < Patience {
+		if !s.probe.IsZero() && now.Sub(s.probe) < patience {
 			return true
 		}
 	}
@@ -237,8 +237,8 @@
 func (p *Placer) askable(t *Ticket, now time.Time) (home, abroad []*state) {
 	for _, s := range p.usable(t, now) {
 		switch {
-		case s.mute || len(s.running) >= s.Slots || !s.probe.IsZero() && now.Sub(s.probe) < Patience:
-		case s.fresh(now, Fresh) && !s.free(now):
+		case s.mute || len(s.running) >= s.Slots || !s.probe.IsZero() && now.Sub(s.probe) < patience:
+		case s.fresh(now, freshness) && !s.free(now):
 		case p.near(s):
 			home = append(home, s)
 		default:
