--- a/internal/process/commander/proofs_test.go
+++ b/internal/process/commander/proofs_test.go
@@ -16,7 +16,7 @@
 	page, err := os.ReadFile("../../../docs/PROOFS.md")
 	require.NoError(t, err)
 	var code strings.Builder
-	err = filepath.WalkDir("../..", func(path string, _ fs.DirEntry, err error) error {
+	err = filepath.WalkDir("../../..", func(path string, _ fs.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(path, "_test.go") {
 			return err
 		}
@@ -28,6 +28,6 @@
 	named := regexp.MustCompile("`((?:Test|Fuzz)[A-Za-z]+)`").FindAllStringSubmatch(string(page), -1)
 	require.NotEmpty(t, named)
 	for _, found := range named {
-		require.Contains(t, code.String(), "func "+found[1]+"(", "the page names a test that is not there")
+		require.True(t, strings.Contains(code.String(), "func "+found[1]+"("), "the page names %s, which is not there", found[1])
 	}
 }
