--- a/internal/process/syncer/turn.go
+++ b/internal/process/syncer/turn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -55,7 +56,7 @@
 			delete(t.vouched, peer)
 			continue
 		}
-		if at.After(newest) && contains(before, peer) {
+		if at.After(newest) && slices.Contains(before, peer) {
 			newest = at
 		}
 	}
@@ -76,12 +77,3 @@
 	t.failures++
 	t.next = now.Add(time.Duration((0.75 + 0.5*t.Random()) * float64(delay)))
 }
-
-func contains(all []netip.AddrPort, a netip.AddrPort) bool {
-	for _, o := range all {
-		if o == a {
-			return true
-		}
-	}
-	return false
-}
