Mend both red tests: a stop reset connections, a check misread dropped answers

TestHistoriesAreAtMostOnce: the limit of 1,000 bytes keeps three answers, so another caller's answer may drop one between Finish and Outcome. The handler tells the caller "unknown" then (internal/request/handler); the test's caller told "done" with no answer, which no order allows. Shown by a line at that place: each of 3 failing histories of 1,200 had it, none of the others. Now the test tells what the handler tells. Histories are timed by differences of the monotonic clock, since the time of day may step (ruled out as the cause).

TestExecutingUntilAnswered: a stop closed its connections at once. If bytes of the peer are unread then, the kernel resets the connection and the answer that was just written may be lost on its way. Now the link writes no more and reads on until the peer has read all, for 700 ms at most. The new test of the framer fails without it ("connection reset" in 1 of 1).

--- a/internal/connection/framer/conn.go
+++ b/internal/connection/framer/conn.go
@@ -45,6 +45,8 @@
 	writing sync.Mutex
 	sent    uint64
 	out     hash.Hash
+	// finished means that no more is written, guarded by writing.
+	finished bool
 }
 
 func newConn(socket net.Conn, endpoint *Endpoint) *Conn {
@@ -57,6 +59,23 @@
 // Close ends the connection. It may be called more than once and from any goroutine.
 func (c *Conn) Close() error { return c.socket.Close() }
 
+// Finish writes no more and leaves the connection open for reading, for some
+// time at most. Closed with bytes of the other side unread, it would be reset,
+// and what was written last could be lost on its way.
+func (c *Conn) Finish(limit time.Duration) error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	c.finished = true
+	half, ok := c.socket.(interface{ CloseWrite() error })
+	if !ok {
+		return c.socket.Close()
+	}
+	if err := c.socket.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(half.CloseWrite())
+}
+
 // Write sends one message and returns its size on the wire. It may be called
 // from several goroutines.
 func (c *Conn) Write(m Message) (int, error) {
@@ -108,6 +127,9 @@
 func (c *Conn) writeFrame(payload []byte) error {
 	c.writing.Lock()
 	defer c.writing.Unlock()
+	if c.finished {
+		return trace.ConnectionProblem(nil, "the connection to peer %s is closed for writing", c.remote.Peer)
+	}
 	body := make([]byte, 0, lengthBytes+overhead+len(payload))
 	body = binary.BigEndian.AppendUint64(body, c.sent)
 	body = append(body, payload...)
--- a/internal/connection/framer/framer_test.go
+++ b/internal/connection/framer/framer_test.go
@@ -159,6 +159,45 @@
 	}
 }
 
+// TestFinishedConnectionIsReadToItsEnd ends a connection on which unread bytes
+// have arrived, after a message that does not fit the buffers of the sockets.
+func TestFinishedConnectionIsReadToItsEnd(t *testing.T) {
+	e, _ := endpoint(newKey)
+	e.MaxFrame = 8 << 20
+	client, server, _ := session(t, e, e)
+	for range 10 {
+		mustWrite(t, client, "unread")
+	}
+	answer := strings.Repeat("x", 4<<20)
+	written := make(chan error, 1)
+	go func() {
+		m, err := Encode(kindText, 5, answer)
+		if err == nil {
+			_, err = server.Write(m)
+		}
+		written <- err
+		if err := server.Finish(10 * time.Second); err != nil {
+			t.Error(err)
+		}
+		if _, err := server.Write(m); err == nil {
+			t.Error("a finished connection was written to")
+		}
+		for {
+			if _, _, err := server.Read(); err != nil {
+				server.Close()
+				return
+			}
+		}
+	}()
+	mustRead(t, client, answer)
+	if err := <-written; err != nil {
+		t.Error(err)
+	}
+	if _, _, err := client.Read(); !errors.Is(err, io.EOF) {
+		t.Errorf("%v, want the end", err)
+	}
+}
+
 func TestKeyRotation(t *testing.T) {
 	stages := []struct{ dialer, listener []Key }{
 		{[]Key{oldKey}, []Key{oldKey, newKey}},
--- a/internal/process/executor/history_test.go
+++ b/internal/process/executor/history_test.go
@@ -94,8 +94,12 @@
 	return told(r.Outcome())
 }
 
-// told returns what a caller is told of an outcome.
+// told returns what a caller is told of an outcome. An answer that is no longer
+// kept may be dropped by another caller's, also before the one who ran it reads it.
 func told(o *Outcome) historian.Event {
+	if o.Dropped {
+		return historian.Event{Outcome: Unknown.String()}
+	}
 	return historian.Event{Outcome: o.Result.String(), Answer: strconv.Itoa(o.Status)}
 }
 
@@ -105,10 +109,7 @@
 		return answer
 	}
 	<-r.Done()
-	if o := r.Outcome(); !o.Dropped {
-		return told(o)
-	}
-	return answer
+	return told(r.Outcome())
 }
 
 func pause(random *rand.Rand) {
--- a/internal/process/relayer/link.go
+++ b/internal/process/relayer/link.go
@@ -26,6 +26,8 @@
 	used, asked atomic.Int64
 	closed      chan struct{}
 	once        sync.Once
+	// finishing is set once nothing more is sent and what arrives is dropped.
+	finishing atomic.Bool
 
 	// mutex guards the rest.
 	mutex   sync.Mutex
@@ -61,6 +63,15 @@
 	})
 }
 
+// finish closes the link once the other side has read what was sent.
+func (l *link) finish() {
+	l.finishing.Store(true)
+	if err := l.conn.Finish(lingerTimeout); err != nil {
+		// The connection has broken before; there is nothing left to save.
+		l.close()
+	}
+}
+
 // busy reports whether either side waits for an answer.
 func (l *link) busy() bool {
 	l.mutex.Lock()
@@ -80,7 +91,7 @@
 	l.used.Store(int64(time.Since(l.relayer.started)))
 	size, err := l.conn.Write(m)
 	if err != nil {
-		if !trace.IsLimitExceeded(err) {
+		if !trace.IsLimitExceeded(err) && !l.finishing.Load() {
 			l.close()
 		}
 		return trace.Wrap(err)
@@ -153,7 +164,7 @@
 		if err != nil {
 			return
 		}
-		if !l.relayer.options.Allow(l.peer) {
+		if !l.relayer.options.Allow(l.peer) || l.finishing.Load() {
 			continue
 		}
 		l.used.Store(int64(time.Since(l.relayer.started)))
--- a/internal/process/relayer/pool.go
+++ b/internal/process/relayer/pool.go
@@ -18,6 +18,9 @@
 	// stalledLink is the time after a ping without any sign from the other side
 	// after which a connection is no longer used.
 	stalledLink = 3 * time.Second
+	// lingerTimeout bounds the wait for a peer to read what was sent before a
+	// stop: a lost packet is sent again after 200 ms, and once more after 400 ms.
+	lingerTimeout = 700 * time.Millisecond
 )
 
 // pool holds one connection per peer, dialed by either side.
@@ -208,12 +211,12 @@
 	return least
 }
 
-// closeAll closes every link and refuses new ones.
+// closeAll closes every link, after its last message, and refuses new ones.
 func (p *pool) closeAll() {
 	p.mutex.Lock()
 	p.shut = true
 	p.mutex.Unlock()
 	for _, l := range p.open() {
-		l.close()
+		l.finish()
 	}
 }
--- a/internal/standin/historian/history.go
+++ b/internal/standin/historian/history.go
@@ -25,14 +25,20 @@
 type History struct {
 	mu     sync.Mutex
 	events []porcupine.Operation
+	// first is the origin of the recorded times. They are differences, as the time
+	// of day may step.
+	first time.Time
 }
 
 // Add records an event of an operation and when it began and ended.
 func (h *History) Add(operation string, e Event, began, ended time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if len(h.events) == 0 {
+		h.first = began
+	}
 	h.events = append(h.events, porcupine.Operation{
-		Input: operation, Output: e, Call: began.UnixNano(), Return: ended.UnixNano(),
+		Input: operation, Output: e, Call: int64(began.Sub(h.first)), Return: int64(ended.Sub(h.first)),
 	})
 }
 
