Let a rumor cross to other zones once, not at each hop

Each broken answer makes a rumor, which each of 98 instances pushed to four members of any zone: some 260 messages to other zones for one broken answer. Ruled out: the large configuration (documents) and the joins.

Change: a rumor of the whole fleet is pushed from hop to hop within the zone; other zones hear it from the one who started it, two members each. Pings bring it to who was missed, as before.

--- a/internal/process/relayer/packet.go
+++ b/internal/process/relayer/packet.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -55,17 +56,15 @@
 	return ""
 }
 
-// push sends a message to a few random members that are believed alive; the
-// empty place is any.
+// push sends a message to a few random members of a place that are believed
+// alive; the empty place is any.
 func (r *Relayer) push(place string, kind framer.Kind, value any) {
-	var live []netip.AddrPort
-	for _, m := range r.Members() {
-		if m.State == detector.Alive && (place == "" || m.Instance.Place == place) {
-			live = append(live, m.Instance.Peer)
-		}
-	}
-	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	for _, a := range live[:min(fanout, len(live))] {
+	r.send(sample(r.Members(), place, fanout), kind, value)
+}
+
+// send sends a message to some members.
+func (r *Relayer) send(to []netip.AddrPort, kind framer.Kind, value any) {
+	for _, a := range to {
 		r.spawn(func() {
 			ctx, cancel := context.WithTimeout(r.context, peerTimeout)
 			defer cancel()
@@ -76,3 +75,34 @@
 		})
 	}
 }
+
+// sample returns up to most random members of a place that are believed alive; the
+// empty place is any.
+func sample(members []detector.Member, place string, most int) []netip.AddrPort {
+	var live []netip.AddrPort
+	for _, m := range members {
+		if m.State == detector.Alive && (place == "" || m.Instance.Place == place) {
+			live = append(live, m.Instance.Peer)
+		}
+	}
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	return live[:min(most, len(live))]
+}
+
+// audience returns the members to which a rumor of the whole fleet is pushed. In
+// the own place it goes on from hop to hop. Other places hear it from the one who
+// started it, since links between places are slower and may be charged.
+func audience(members []detector.Member, own string, started bool) []netip.AddrPort {
+	to := sample(members, own, fanout)
+	if !started {
+		return to
+	}
+	var places []string
+	for _, m := range members {
+		if p := m.Instance.Place; p != own && !slices.Contains(places, p) {
+			places = append(places, p)
+			to = append(to, sample(members, p, farFanout)...)
+		}
+	}
+	return to
+}
--- a/internal/process/relayer/relayer.go
+++ b/internal/process/relayer/relayer.go
@@ -23,6 +23,9 @@
 	peerTimeout = time.Second
 	// fanout is the number of members that news is pushed to at once.
 	fanout = 4
+	// farFanout is the number of members of each other place that are told a rumor
+	// at its start: one may be gone without being known to be.
+	farFanout = 2
 )
 
 // Options holds what a relayer is built from.
--- a/internal/process/relayer/spread.go
+++ b/internal/process/relayer/spread.go
@@ -126,7 +126,7 @@
 		o.Left = topics[o.Topic].life
 	}
 	if r.rumors.add(o, now) {
-		r.pushRumors([]Rumor{o})
+		r.pushRumors([]Rumor{o}, true)
 	}
 }
 
@@ -138,7 +138,7 @@
 			fresh = append(fresh, o)
 		}
 	}
-	r.pushRumors(fresh)
+	r.pushRumors(fresh, false)
 	for _, o := range fresh {
 		if r.options.Rumor != nil {
 			r.options.Rumor(o, now)
@@ -146,7 +146,7 @@
 	}
 }
 
-func (r *Relayer) pushRumors(fresh []Rumor) {
+func (r *Relayer) pushRumors(fresh []Rumor, started bool) {
 	places := map[string][]Rumor{}
 	for _, o := range fresh {
 		if topics[o.Topic].urgent {
@@ -154,7 +154,11 @@
 		}
 	}
 	for place, urgent := range places {
-		r.push(place, kindRumors, urgent)
+		if place == "" {
+			r.send(audience(r.Members(), r.options.Self.Place, started), kindRumors, urgent)
+		} else {
+			r.push(place, kindRumors, urgent)
+		}
 	}
 }
 
