Let a large zone call a platform that is out of order as often as a small one

Change: from the second failure in a row, an instance of a zone of n waits n/6 times as long, 3 s at most. The first attempts stay as they were, so a store that turns only some machines away is found reachable as fast as before.

--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -142,7 +142,7 @@
 	source := o.Source(Offer{Table: i.offerTable, List: i.offerList})
 	i.syncer = &syncer.Syncer{
 		Refresh: source.Refresh, Await: source.Await,
-		Before: i.before, Vouch: func(time.Time) { i.relayer.Vouch() }, Logger: o.Logger,
+		Before: i.before, Count: i.count, Vouch: func(time.Time) { i.relayer.Vouch() }, Logger: o.Logger,
 	}
 	i.syncer.Prepare()
 	i.acceptor = &acceptor.Acceptor{
@@ -285,6 +285,17 @@
 	return all
 }
 
+// count returns the number of live instances of the zone, this one included.
+func (i *Instance) count() int {
+	n := 1
+	for _, m := range i.relayer.Members() {
+		if m.State == detector.Alive && m.Instance.Zone == i.self.Zone {
+			n++
+		}
+	}
+	return n
+}
+
 func (i *Instance) limits() acceptor.Limits {
 	t := i.tables.Current()
 	if t == nil {
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -32,6 +32,8 @@
 	Await func(ctx context.Context, wait time.Duration) error
 	// Before returns the live instances of the zone that come before this one.
 	Before func() []netip.AddrPort
+	// Count returns the number of live instances of the zone, this one included.
+	Count func() int
 	// Vouch tells the zone that this copy is current.
 	Vouch  func(now time.Time)
 	Logger log.Logger
@@ -128,9 +130,10 @@
 // finish takes in how a call ended and reports whether the platform was lost or
 // is back with it.
 func (s *Syncer) finish(failed bool, now time.Time) bool {
+	count := s.Count()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.turn.Finish(failed, now)
+	s.turn.Finish(failed, count, now)
 	if !failed {
 		s.current = now
 	}
--- a/internal/process/syncer/syncer_test.go
+++ b/internal/process/syncer/syncer_test.go
@@ -55,10 +55,10 @@
 		s.calls++
 		if s.cut[i] {
 			s.next[i] = now.Add(callTimeout)
-			t.Finish(true, s.next[i])
+			t.Finish(true, len(s.turns), s.next[i])
 			continue
 		}
-		t.Finish(false, now)
+		t.Finish(false, len(s.turns), now)
 		s.next[i] = now.Add(Wait)
 		for k, o := range s.turns {
 			if !s.down[k] && k != i {
@@ -128,9 +128,38 @@
 	for end := now.Add(10 * time.Second); now.Before(end); now = now.Add(time.Millisecond) {
 		if due, _ := turn.Due(now, nil); due {
 			calls++
-			turn.Finish(true, now)
+			turn.Finish(true, 1, now)
 		}
 	}
 	require.LessOrEqual(t, calls, 25)
 	require.GreaterOrEqual(t, calls, 10)
 }
+
+// While the platform is out of order, a large zone calls it no more often than a
+// small one, and it is current again as soon as the platform is back.
+func TestLargeZonesWaitForThePlatform(t *testing.T) {
+	for _, n := range []int{6, 30, 300} {
+		s := newSim(n, rand.New(rand.NewSource(1)))
+		start := time.Unix(100, 0)
+		down, back := start.Add(5*time.Second), start.Add(25*time.Second)
+		settled, recovered := 0, time.Time{}
+		for now := start; now.Before(back.Add(5 * time.Second)); now = now.Add(10 * time.Millisecond) {
+			out := !now.Before(down) && now.Before(back)
+			for i := range s.cut {
+				s.cut[i] = out
+			}
+			if now.Equal(down.Add(8 * time.Second)) {
+				settled = s.calls
+			}
+			if now.Equal(back) {
+				bound := max(crowd/backoffMost.Seconds(), float64(n)/backoffLongest.Seconds())
+				require.LessOrEqual(t, float64(s.calls-settled)/12, bound, "calls a second, %d instances", n)
+			}
+			s.step(now)
+			if recovered.IsZero() && now.After(back) && s.current[n-1].After(back) {
+				recovered = now
+			}
+		}
+		require.Less(t, recovered.Sub(back), time.Second, "%d instances", n)
+	}
+}
--- a/internal/process/syncer/turn.go
+++ b/internal/process/syncer/turn.go
@@ -20,6 +20,13 @@
 	// backoffLeast and backoffMost bound the growing time after failed calls.
 	backoffLeast = 150 * time.Millisecond
 	backoffMost  = 700 * time.Millisecond
+	// crowd is the number of instances of a zone that call a platform that is out of
+	// order as often as that. In a larger zone each waits longer, so that the zone
+	// calls no more often, and hears of the platform's return as soon.
+	crowd = 6
+	// backoffLongest bounds the growing time in large zones, for the case that only
+	// one instance reaches the platform.
+	backoffLongest = 3 * time.Second
 )
 
 // Turn decides when an instance reads from the platform. It has no input or
@@ -67,13 +74,16 @@
 	return !now.Before(start), start
 }
 
-// Finish takes in how a call ended.
-func (t *Turn) Finish(failed bool, now time.Time) {
+// Finish takes in how a call of one of some live instances of the zone ended.
+func (t *Turn) Finish(failed bool, instances int, now time.Time) {
 	if !failed {
 		t.failures, t.next = 0, now
 		return
 	}
 	delay := min(backoffLeast<<min(t.failures, 4), backoffMost)
+	if t.failures > 0 {
+		delay = min(delay*time.Duration(max(instances, crowd))/crowd, backoffLongest)
+	}
 	t.failures++
 	t.next = now.Add(time.Duration((0.75 + 0.5*t.Random()) * float64(delay)))
 }
