Gather news that come in series for up to 400 ms

Cause: when hundreds of targets start or are replaced one after the other, each zone's reader calls the platform ten times a second.

Change: the time between two calls that bring news doubles from 100 to 400 ms while they bring news at once; a pause starts it anew, so that a single change is told as fast as before. Bounds on the effect of news are two seconds.

--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -14,9 +14,11 @@
 const (
 	// callTimeout bounds a call, or what remains of it after the wait.
 	callTimeout = 800 * time.Millisecond
-	// gather is the time between two calls that bring news, which come in series
-	// when targets are replaced; it is short beside the bounds on their effect.
-	gather = 100 * time.Millisecond
+	// gatherLeast and gatherMost bound the growing time between two calls that bring
+	// news, which come in series when targets start or are replaced. Both are short
+	// beside the bounds on the effect of news, two seconds.
+	gatherLeast = 100 * time.Millisecond
+	gatherMost  = 400 * time.Millisecond
 	// oldest is the age up to which a copy is brought up to date by its changes
 	// and not read anew; the platform keeps its history longer.
 	oldest = 5 * time.Second
@@ -90,6 +92,7 @@
 	defer close(s.done)
 	reading := false
 	var read time.Time
+	gather := time.Duration(0)
 	for s.context.Err() == nil {
 		now := time.Now()
 		due, again := s.due(now)
@@ -102,8 +105,9 @@
 			continue
 		}
 		err := s.call(now.Sub(read) > oldest)
-		if rest := gather - time.Since(now); err == nil && rest > 0 {
-			s.sleep(rest)
+		if took := time.Since(now); err == nil {
+			gather = nextGather(gather, took)
+			s.sleep(gather - took)
 		}
 		if s.context.Err() != nil {
 			return nil
@@ -120,6 +124,15 @@
 	return nil
 }
 
+// nextGather returns the least time between a call that took some time and the
+// next one. It grows while calls bring news at once, and starts anew after a pause.
+func nextGather(before, took time.Duration) time.Duration {
+	if took > gatherMost {
+		return 0
+	}
+	return min(max(2*before, gatherLeast), gatherMost)
+}
+
 func (s *Syncer) due(now time.Time) (bool, time.Time) {
 	before := s.Before()
 	s.mutex.Lock()
--- a/internal/process/syncer/syncer_test.go
+++ b/internal/process/syncer/syncer_test.go
@@ -163,3 +163,17 @@
 		require.Less(t, recovered.Sub(back), time.Second, "%d instances", n)
 	}
 }
+
+// Hundreds of targets that start one after the other cost a few calls a second, and
+// a single change is told as fast as ever.
+func TestSeriesOfNewsAreGathered(t *testing.T) {
+	gather, calls := time.Duration(0), 0
+	for spent := time.Duration(0); spent < 8*time.Second; spent += max(gather, time.Millisecond) {
+		gather = nextGather(gather, time.Millisecond)
+		calls++
+	}
+	require.LessOrEqual(t, calls, 22)
+	gather = nextGather(gather, Wait)
+	require.Zero(t, gather)
+	require.LessOrEqual(t, nextGather(gather, time.Millisecond), 100*time.Millisecond)
+}
