Seek room in other zones through an instance there

Cause: a request that finds no fast free target in its zone asked three random targets of other zones, each 40 ms. Three random targets of 17 rarely have room. Ruled out: the sizes of the requests (763 abroad, about 1 MB).

Change: the placer names up to two zones in which to seek; an instance there, always the same one while it answers, names up to two targets with room, from fresh reports or after asking four targets near it. What waits there goes first, and a target that was named counts one request more. While no instance of a zone answers, its targets are asked directly, as before.

--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -24,6 +24,7 @@
 	"oriolecourse.example/oriolecourse/internal/process/forwarder"
 	"oriolecourse.example/oriolecourse/internal/process/registrar"
 	"oriolecourse.example/oriolecourse/internal/process/relayer"
+	"oriolecourse.example/oriolecourse/internal/process/seeker"
 	"oriolecourse.example/oriolecourse/internal/process/syncer"
 	"oriolecourse.example/oriolecourse/internal/version/lister"
 	"oriolecourse.example/oriolecourse/internal/version/router"
@@ -109,6 +110,7 @@
 	forwarder *forwarder.Forwarder
 	relayer   *relayer.Relayer
 	syncer    *syncer.Syncer
+	seeker    *seeker.Seeker
 	acceptor  *acceptor.Acceptor
 	began     time.Time
 	leaving   atomic.Bool
@@ -128,15 +130,17 @@
 	i.tables = &adopter.Adopter[router.Table]{Check: checkTable, Change: i.tableChanged, Reject: i.rejected}
 	i.lists = &adopter.Adopter[registrar.List]{Check: checkList, Change: i.listChanged, Reject: i.rejected}
 	i.registrar = registrar.New(i.runChanged)
+	i.seeker = &seeker.Seeker{Random: rand.IntN}
 	i.forwarder = forwarder.New(forwarder.Options{
 		Dialect: o.Dialect, Zone: o.Zone, Budget: o.Budget,
 		Table: i.tables.Current, Fleet: func() int { return int(i.fleet.Load()) },
-		Lost: i.spreadLoss, Left: i.targetLeft, Logger: o.Logger, Scope: o.Scope,
+		Lost: i.spreadLoss, Left: i.targetLeft, Scouted: i.scouted, Seek: i.seek, Logger: o.Logger, Scope: o.Scope,
 	})
 	i.relayer = relayer.New(relayer.Options{
 		Self: i.self, Incarnation: rand.Uint64() | 1, Seeds: o.Seeds, Period: pingPeriod, Remote: remotePings,
 		Keys:      func() framer.Keys { return o.Keys },
 		Documents: i.document, Offer: i.offered, Rumor: i.hear, Vouched: i.vouched, Current: i.current, Members: i.membersChanged,
+		Find:   i.find,
 		Logger: o.Logger, Scope: o.Scope,
 	})
 	source := o.Source(Offer{Table: i.offerTable, List: i.offerList})
--- a/internal/process/composer/peers.go
+++ b/internal/process/composer/peers.go
@@ -1,6 +1,7 @@
 package composer
 
 import (
+	"context"
 	"net/netip"
 	"time"
 
@@ -9,6 +10,7 @@
 	"oriolecourse.example/oriolecourse/internal/process/detector"
 	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
 	"oriolecourse.example/oriolecourse/internal/process/relayer"
+	"oriolecourse.example/oriolecourse/internal/request/placer"
 )
 
 // vouched takes in that a peer's documents are current.
@@ -74,3 +76,40 @@
 		_ = level.Debug(i.options.Logger).Log("msg", "rumor ignored", "topic", r.Topic)
 	}
 }
+
+// scouted reports whether an instance of another zone can be asked for room there.
+func (i *Instance) scouted(zone string, now time.Time) bool {
+	_, found := i.seeker.Peer(zone, i.relayer.Members(), now)
+	return found
+}
+
+// seek asks an instance of another zone for targets there that have room.
+func (i *Instance) seek(ctx context.Context, zone, service string) []placer.Loan {
+	peer, found := i.seeker.Peer(zone, i.relayer.Members(), time.Now())
+	if !found {
+		return nil
+	}
+	findings, err := i.relayer.Find(ctx, peer, service)
+	i.seeker.Answered(zone, err == nil, time.Now())
+	if err != nil {
+		_ = level.Debug(i.options.Logger).Log("msg", "zone silent", "zone", zone, "peer", peer, "err", err)
+	}
+	var loans []placer.Loan
+	for _, f := range findings {
+		loans = append(loans, placer.Loan{ID: f.Target, Load: placer.Load{
+			Running: f.Running, Waiting: f.Waiting, Slots: f.Slots, Pace: float64(f.Pace),
+		}})
+	}
+	return loans
+}
+
+// find looks for targets with room on behalf of another zone.
+func (i *Instance) find(ctx context.Context, service string) []relayer.Finding {
+	var findings []relayer.Finding
+	for _, l := range i.forwarder.Lend(ctx, service) {
+		findings = append(findings, relayer.Finding{
+			Target: l.ID, Running: l.Load.Running, Waiting: l.Load.Waiting, Slots: l.Load.Slots, Pace: float32(l.Load.Pace),
+		})
+	}
+	return findings
+}
--- a/internal/process/forwarder/counters.go
+++ b/internal/process/forwarder/counters.go
@@ -17,6 +17,8 @@
 	probes      tally.Counter
 	withheld    tally.Counter
 	silent      tally.Counter
+	searches    tally.Counter
+	lent        tally.Counter
 	waited      tally.Histogram
 	latency     tally.Histogram
 	age         tally.Histogram
@@ -29,6 +31,8 @@
 		probes:      s.Counter("probes"),
 		withheld:    s.Counter("probes_withheld"),
 		silent:      s.Counter("probes_failed"),
+		searches:    s.Counter("searches_abroad"),
+		lent:        s.Counter("targets_lent"),
 		waited:      s.Histogram("wait_seconds", bounds),
 		latency:     s.Histogram("latency_seconds", bounds),
 		age:         s.Histogram("report_age_seconds", bounds),
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -62,9 +63,13 @@
 	// that it was answered after all.
 	Lost func(r quarantiner.Rumor, now time.Time)
 	// Left tells that a target with another name answered at a run's address.
-	Left   func(key string, now time.Time)
-	Logger log.Logger
-	Scope  tally.Scope
+	Left func(key string, now time.Time)
+	// Scouted reports whether an instance of another zone can be asked for room
+	// there; Seek asks it.
+	Scouted func(zone string, now time.Time) bool
+	Seek    func(ctx context.Context, zone, service string) []placer.Loan
+	Logger  log.Logger
+	Scope   tally.Scope
 }
 
 // Forwarder carries requests. Its methods may be called concurrently.
@@ -120,6 +125,17 @@
 // Hear takes in what a peer told of a lost request.
 func (f *Forwarder) Hear(r quarantiner.Rumor, now time.Time) { f.quarantiner.Hear(r, now) }
 
+// Lend returns targets of the own zone that have room for a request of another zone.
+func (f *Forwarder) Lend(ctx context.Context, service string) []placer.Loan {
+	f.mutex.Lock()
+	s := f.services[service]
+	f.mutex.Unlock()
+	if s == nil {
+		return nil
+	}
+	return s.lend(ctx)
+}
+
 // Sweep closes connections that have been idle for too long.
 func (f *Forwarder) Sweep(now time.Time) { f.exchanger.Sweep(now) }
 
--- a/internal/process/journaler/lines.go
+++ b/internal/process/journaler/lines.go
@@ -52,6 +52,7 @@
 	{"request ended", "The client gets its answer, or has left.", []string{"request", "service", "outcome", "status", "took"}},
 	{"client failed", "A connection of a client ended with an error of the protocol.", []string{"client", "status", "err"}},
 	{"probe failed", "A target did not tell its load.", []string{"service", "target", "address", "status", "err"}},
+	{"zone silent", "An instance of another zone that was asked for room has not answered.", []string{"zone", "peer", "err"}},
 	{"lines omitted", "Lines of a kind were left out in the last second.", []string{"kind", "count"}},
 }
 
--- /dev/null
+++ b/internal/process/relayer/find_test.go
@@ -0,0 +1,29 @@
+package relayer
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestFindAsksOnBehalfOfAPeer(t *testing.T) {
+	nodes := startFleet(t, 2, testPeriod)
+	asking, asked := nodes[0], nodes[1]
+	want := []Finding{{Target: "i-1/2", Running: 1, Waiting: 2, Slots: 3, Pace: 1.5}}
+	asked.options.Find = func(_ context.Context, service string) []Finding {
+		if service != "parts" {
+			return nil
+		}
+		return want
+	}
+	got, err := asking.Find(t.Context(), asked.options.Self.Peer, "parts")
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+	got, err = asking.Find(t.Context(), asked.options.Self.Peer, "others")
+	require.NoError(t, err)
+	require.Empty(t, got)
+	got, err = asked.Find(t.Context(), asking.options.Self.Peer, "parts")
+	require.NoError(t, err)
+	require.Empty(t, got, "an instance that cannot look for room finds none")
+}
--- a/internal/process/relayer/relayer.go
+++ b/internal/process/relayer/relayer.go
@@ -65,6 +65,9 @@
 	// Execute runs an operation that was forwarded to this incarnation. The
 	// context ends when the asking instance gives up or goes away.
 	Execute func(ctx context.Context, o Operation) Outcome
+	// Find returns targets of this instance's place that have room for a request of
+	// a service; nil finds none.
+	Find func(ctx context.Context, service string) []Finding
 	// Members is called with the whole membership after each change; it must not
 	// block nor call the relayer.
 	Members func(members []detector.Member, changes []detector.Change)
--- a/internal/process/relayer/wire.go
+++ b/internal/process/relayer/wire.go
@@ -20,6 +20,8 @@
 	kindOutcome
 	kindCancel
 	kindVouch
+	kindFind
+	kindFound
 	messageKinds
 )
 
@@ -36,6 +38,8 @@
 	kindOutcome:   "outcome",
 	kindCancel:    "cancel",
 	kindVouch:     "vouch",
+	kindFind:      "find",
+	kindFound:     "found",
 }
 
 // handler takes a received message. An error is a message that makes no sense.
@@ -56,6 +60,8 @@
 		kindOutcome:   handleAnswer,
 		kindCancel:    handleCancel,
 		kindVouch:     r.handleVouch,
+		kindFind:      r.handleFind,
+		kindFound:     handleAnswer,
 	}
 }
 
--- /dev/null
+++ b/internal/request/placer/abroad.go
@@ -0,0 +1,96 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// Excellent is the factor up to which a target is named without waiting for the
+	// answers of others, Any that up to which it is named at all.
+	Excellent = excellent
+	Any       = worstOwn * 10
+	// lendMost is the number of targets that are named to another zone at once: one
+	// to use and one in case that another request takes it first.
+	lendMost = 2
+	// farZones is the number of other zones in which room is looked for at once.
+	farZones = 2
+)
+
+// Loan names a target that has room to an instance of another zone.
+type Loan struct {
+	// ID names the run among all runs.
+	ID   string
+	Load Load
+}
+
+// Lend returns targets of the own zone that have room for a request of another
+// zone at up to a factor of its usual time, the fastest first. What waits here goes
+// first. Each target that is named counts one request more until it reports again,
+// so that two zones are not sent to the same slot.
+func (p *Placer) Lend(factor float64, now time.Time) []Loan {
+	if len(p.waiting) > 0 {
+		return nil
+	}
+	var free []*state
+	for _, s := range p.usable(&Ticket{}, now) {
+		if p.near(s) && s.tells && s.fresh(now, freshness) && s.free(now) && s.factor(now) <= factor {
+			free = append(free, s)
+		}
+	}
+	slices.SortFunc(free, func(a, b *state) int { return cmp.Compare(a.factor(now), b.factor(now)) })
+	var loans []Loan
+	for _, s := range free[:min(lendMost, len(free))] {
+		loans = append(loans, Loan{ID: s.ID, Load: s.load})
+		s.load.Running++
+	}
+	return loans
+}
+
+// Scout returns targets of the own zone to ask for their load on behalf of another zone.
+func (p *Placer) Scout(now time.Time) []Target {
+	if len(p.waiting) > 0 {
+		return nil
+	}
+	near, _ := p.askable(&Ticket{}, now)
+	return p.probe(p.draw(near, nearFan), now)
+}
+
+// Sought takes in that the search for room in another zone has ended; what was
+// found there was reported before.
+func (p *Placer) Sought(zone string) { delete(p.searches, zone) }
+
+// seeking reports whether a search in another zone is awaited.
+func (p *Placer) seeking(now time.Time) bool {
+	for _, began := range p.searches {
+		if now.Sub(began) < patience {
+			return true
+		}
+	}
+	return false
+}
+
+// seek divides targets of other zones into zones where an instance can be asked, of
+// which it returns some, and targets that have to be asked themselves.
+func (p *Placer) seek(abroad []*state, now time.Time) (zones []string, direct []*state) {
+	scouted := map[string]bool{}
+	for _, s := range abroad {
+		can, known := scouted[s.Zone]
+		if !known {
+			can = p.Scouted != nil && p.Scouted(s.Zone, now)
+			scouted[s.Zone] = can
+			if can && now.Sub(p.searches[s.Zone]) >= patience {
+				zones = append(zones, s.Zone)
+			}
+		}
+		if !can {
+			direct = append(direct, s)
+		}
+	}
+	for i := range zones {
+		j := i + int(p.Random()*float64(len(zones)-i))
+		zones[i], zones[j] = zones[j], zones[i]
+	}
+	return zones[:min(farZones, len(zones))], p.draw(direct, farFan)
+}
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -71,7 +71,14 @@
 	// Allow grants up to n probes and returns how many.
 	Allow func(n int, now time.Time) int
 
+	// Scouted reports whether an instance of another zone can be asked for room
+	// there. Nil is never: the targets are asked themselves.
+	Scouted func(zone string, now time.Time) bool
+
 	targets map[string]*state
+	// searches holds when the search for room in each other zone began that is
+	// under way.
+	searches map[string]time.Time
 	// order holds the identifiers of targets, sorted.
 	order   []string
 	waiting []*Ticket
@@ -91,7 +98,7 @@
 func New(zone string, random func() float64, allow func(n int, now time.Time) int) *Placer {
 	return &Placer{
 		Zone: zone, Random: random, Allow: allow,
-		targets: map[string]*state{}, work: map[string]time.Duration{},
+		targets: map[string]*state{}, searches: map[string]time.Time{}, work: map[string]time.Duration{},
 	}
 }
 
--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -34,7 +34,7 @@
 	if len(kept) == 0 {
 		return a
 	}
-	a.Probes = p.ask(now)
+	p.ask(&a, now)
 	a.Wake = p.wake(now)
 	return a
 }
@@ -164,7 +164,7 @@
 			return true
 		}
 	}
-	return false
+	return p.seeking(now)
 }
 
 // refuse turns a request away that cannot be served. The rank is the number of
@@ -207,33 +207,43 @@
 }
 
 // ask begins a round of probes if one is due, for the most urgent request.
-func (p *Placer) ask(now time.Time) []Target {
+func (p *Placer) ask(a *Actions, now time.Time) {
 	t := p.waiting[0]
 	began := p.round.After(t.Arrived) || t.tried > 0
 	if began && now.Sub(p.round) < poll {
-		return nil
+		return
 	}
-	targets, abroad := p.askable(t, now)
+	near, abroad := p.askable(t, now)
+	targets := p.draw(near, nearFan)
 	inTime := !now.After(p.latest(t))
 	if inTime && t.tried >= homeRounds && t.tried%2 == 0 || len(targets) < 2 || t.Extra {
-		targets = append(targets, abroad...)
+		zones, direct := p.seek(abroad, now)
+		targets = append(targets, direct...)
+		for _, z := range zones {
+			p.searches[z] = now
+		}
+		a.Searches = zones
 	}
-	granted := p.Allow(len(targets), now)
-	p.blind = granted == 0 && len(targets) > 0
+	a.Probes = p.probe(targets, now)
+	p.blind = len(a.Probes) == 0 && len(targets) > 0
 	p.round = now
 	for _, w := range p.waiting {
 		w.tried++
 	}
+}
+
+// probe returns as many of some targets as may be asked.
+func (p *Placer) probe(targets []*state, now time.Time) []Target {
 	var asked []Target
-	for _, s := range targets[:granted] {
+	for _, s := range targets[:p.Allow(len(targets), now)] {
 		s.probe = now
 		asked = append(asked, s.Target)
 	}
 	return asked
 }
 
-// askable returns some targets of the own zone and of the others, drawn at random
-// from those that may have a free slot.
+// askable returns the targets of the own zone and of the others that may have a free
+// slot.
 func (p *Placer) askable(t *Ticket, now time.Time) (home, abroad []*state) {
 	for _, s := range p.usable(t, now) {
 		switch {
@@ -245,7 +255,7 @@
 			abroad = append(abroad, s)
 		}
 	}
-	return p.draw(home, nearFan), p.draw(abroad, farFan)
+	return home, abroad
 }
 
 // draw returns up to most random ones.
--- a/internal/request/placer/ticket.go
+++ b/internal/request/placer/ticket.go
@@ -82,6 +82,8 @@
 	Refusals []Refusal
 	// Probes are targets to ask for their load.
 	Probes []Target
+	// Searches are other zones in which an instance is asked for room.
+	Searches []string
 	// Wake is when the next step is due without any event; zero is never.
 	Wake time.Time
 }
