Count what the first read brings at once, and pause after it

Found while looking at the seconds after a power failure, in which clients wait at the door.

Change: a call counts and is vouched for at once; the pause comes after it.

--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -40,6 +40,11 @@
 	Vouch  func(now time.Time)
 	Logger log.Logger
 
+	// read is when the last successful call ended, gather the least time between it
+	// and the next one; only Run uses them.
+	read   time.Time
+	gather time.Duration
+
 	mutex sync.Mutex
 	turn  Turn
 	// current is when the copy was last known to be current.
@@ -91,8 +96,6 @@
 func (s *Syncer) Run() error {
 	defer close(s.done)
 	reading := false
-	var read time.Time
-	gather := time.Duration(0)
 	for s.context.Err() == nil {
 		now := time.Now()
 		due, again := s.due(now)
@@ -104,26 +107,32 @@
 			s.sleep(again.Sub(now))
 			continue
 		}
-		err := s.call(now.Sub(read) > oldest)
-		if took := time.Since(now); err == nil {
-			gather = nextGather(gather, took)
-			s.sleep(gather - took)
-		}
-		if s.context.Err() != nil {
-			return nil
-		}
-		now = time.Now()
-		if s.finish(err != nil, now) {
-			s.note(err)
-		}
-		if err == nil {
-			read = now
-			s.Vouch(now)
-		}
+		s.sleep(s.round(now))
 	}
 	return nil
 }
 
+// round makes one call. What it brings counts at once; the time that is returned
+// has to pass before the next call.
+func (s *Syncer) round(began time.Time) time.Duration {
+	err := s.call(began.Sub(s.read) > oldest)
+	if s.context.Err() != nil {
+		return 0
+	}
+	took := time.Since(began)
+	now := began.Add(took)
+	if s.finish(err != nil, now) {
+		s.note(err)
+	}
+	if err != nil {
+		return 0
+	}
+	s.read = now
+	s.Vouch(now)
+	s.gather = nextGather(s.gather, took)
+	return s.gather - took
+}
+
 // nextGather returns the least time between a call that took some time and the
 // next one. It grows while calls bring news at once, and starts anew after a pause.
 func nextGather(before, took time.Duration) time.Duration {
--- a/internal/process/syncer/syncer_test.go
+++ b/internal/process/syncer/syncer_test.go
@@ -1,12 +1,14 @@
 package syncer
 
 import (
+	"context"
 	"fmt"
 	"math/rand"
 	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 )
 
@@ -177,3 +179,20 @@
 	require.Zero(t, gather)
 	require.LessOrEqual(t, nextGather(gather, time.Millisecond), 100*time.Millisecond)
 }
+
+// After a power failure clients wait at the door: what the first call brings counts
+// at once, and only the next call waits.
+func TestFirstReadCountsAtOnce(t *testing.T) {
+	vouched := 0
+	s := &Syncer{
+		Refresh: func(context.Context) error { return nil },
+		Count:   func() int { return 1 },
+		Vouch:   func(time.Time) { vouched++ },
+		Logger:  log.NewNopLogger(),
+	}
+	s.Prepare()
+	pause := s.round(time.Now())
+	require.False(t, s.Current().IsZero())
+	require.Equal(t, 1, vouched)
+	require.Positive(t, pause)
+}
