--- a/internal/request/placer/abroad.go
+++ b/internal/request/placer/abroad.go
@@ -54,7 +54,7 @@
 		return nil
 	}
 	near, _ := p.askable(&Ticket{}, now)
-	return p.probe(p.draw(near, nearFan), now)
+	return p.probe(p.drawNear(near, now), now)
 }
 
 // Sought takes in that the search for room in another zone has ended; what was
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -24,6 +24,9 @@
 	// in others.
 	nearFan = 4
 	farFan  = 3
+	// familiarity is how long after a report a connection to the target is taken to be
+	// open still. Targets close idle ones after some seconds.
+	familiarity = 5 * time.Second
 	// homeRounds is the number of rounds after which targets of other zones are
 	// asked too: bytes between zones cost more than a short wait.
 	homeRounds = 2
--- a/internal/request/placer/placer_test.go
+++ b/internal/request/placer/placer_test.go
@@ -367,3 +367,28 @@
 		}
 	}
 }
+
+// An instance of a large fleet gets few requests a second. It asks mostly targets that
+// it has connections to, and still finds those that join.
+func TestKeepsToFewTargetsOfMany(t *testing.T) {
+	s := newScene(t, 60, 0)
+	heard := map[string]time.Time{}
+	cold, all := 0, 0
+	for range 300 {
+		a := s.submit(s.ticket())
+		require.Len(t, a.Probes, nearFan)
+		for _, p := range a.Probes {
+			if s.now.Sub(heard[p.ID]) > familiarity {
+				cold++
+			}
+			all++
+			heard[p.ID] = s.now
+			s.tell(p.ID, 0, 1)
+		}
+		g := s.Step(s.now).Grants[0]
+		s.after(160*time.Millisecond).End(g.Target.ID, g.Ticket, Served, s.now)
+		s.after(200 * time.Millisecond)
+	}
+	require.Less(t, 10*cold, 3*all, "probes that need a new connection, of %d", all)
+	require.Len(t, heard, 60, "all are found in time")
+}
--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -214,7 +214,7 @@
 		return
 	}
 	near, abroad := p.askable(t, now)
-	targets := p.draw(near, nearFan)
+	targets := p.drawNear(near, now)
 	inTime := !now.After(p.latest(t))
 	if inTime && t.tried >= homeRounds && t.tried%2 == 0 || len(targets) < 2 || t.Extra {
 		zones, direct := p.seek(abroad, now)
@@ -258,6 +258,22 @@
 	return home, abroad
 }
 
+// drawNear returns the targets of the own zone that a round asks: mostly those that
+// were heard of a while ago, to which connections are open, and one other, so that
+// those that have joined are found.
+func (p *Placer) drawNear(near []*state, now time.Time) []*state {
+	var familiar, others []*state
+	for _, s := range near {
+		if s.tells && now.Sub(s.told) < familiarity {
+			familiar = append(familiar, s)
+		} else {
+			others = append(others, s)
+		}
+	}
+	asked := p.draw(others, max(1, nearFan-len(familiar)))
+	return append(asked, p.draw(familiar, nearFan-len(asked))...)
+}
+
 // draw returns up to most random ones.
 func (p *Placer) draw(from []*state, most int) []*state {
 	n := min(most, len(from))
