Let each service pay its own retries

Cause: an instance held one budget of retries for all services, with 0.6 of the ratio as a margin. The bound is per service. While all targets of one of two services turn most requests away, the requests of the other one paid for second tries there.

Change: a budget per service; 0.9 of the ratio, which is now exact, and 0.6 of the allowance are used.

--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -15,7 +16,6 @@
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
 	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
 	"oriolecourse.example/oriolecourse/internal/process/registrar"
-	"oriolecourse.example/oriolecourse/internal/request/budgeter"
 	"oriolecourse.example/oriolecourse/internal/request/placer"
 	"oriolecourse.example/oriolecourse/internal/version/router"
 )
@@ -80,11 +80,8 @@
 	splitter    *router.Splitter
 	counters    counters
 
-	// budget guards retries and probes.
-	budget sync.Mutex
-	// probes is the number of probes per target and second of the whole fleet.
-	probes  float64
-	retries budgeter.Retries
+	// bounds are the fleet's bounds in force.
+	bounds atomic.Pointer[Budget]
 
 	mutex    sync.Mutex
 	services map[string]*service
@@ -98,10 +95,9 @@
 		quarantiner: quarantiner.New(quarantiner.DefaultLimits),
 		splitter:    router.NewSplitter(rand.IntN),
 		counters:    newCounters(o.Scope),
-		retries:     budgeter.Retries{Ratio: o.Budget.Ratio, Allowance: o.Budget.Allowance, Window: o.Budget.Window},
-		probes:      o.Budget.Probes,
 		services:    map[string]*service{},
 	}
+	f.bounds.Store(&o.Budget)
 	f.exchanger.Opened = func(netip.AddrPort) { f.counters.connections.Inc(1) }
 	return f
 }
@@ -150,28 +146,6 @@
 	return s
 }
 
-// again grants one more attempt.
-func (f *Forwarder) again(now time.Time) bool {
-	f.budget.Lock()
-	defer f.budget.Unlock()
-	return f.retries.Take(now, f.options.Fleet())
-}
-
-func (f *Forwarder) count(now time.Time) {
-	f.budget.Lock()
-	defer f.budget.Unlock()
-	f.retries.Request(now)
-}
-
-// SetBudget puts other bounds in force. What was used under the old ones counts.
-func (f *Forwarder) SetBudget(b Budget) {
-	f.budget.Lock()
-	defer f.budget.Unlock()
-	f.retries.Ratio, f.retries.Allowance, f.probes = b.Ratio, b.Allowance, b.Probes
-}
-
-func (f *Forwarder) probeRate() float64 {
-	f.budget.Lock()
-	defer f.budget.Unlock()
-	return f.probes
-}
+// SetBudget puts other bounds in force. What was used under the old ones counts;
+// the window stays as it was.
+func (f *Forwarder) SetBudget(b Budget) { f.bounds.Store(&b) }
--- a/internal/process/forwarder/race.go
+++ b/internal/process/forwarder/race.go
@@ -197,7 +197,7 @@
 	case r.effect != sender.Disowned && !e.route.Idempotent:
 		return false
 	}
-	return e.forwarder.again(now)
+	return e.service.again(now)
 }
 
 // second tries another target beside one that takes much longer than expected,
@@ -208,7 +208,7 @@
 		return
 	}
 	e.service.doubt(e.current, now)
-	if !e.route.Idempotent || e.sent >= e.route.Attempts || !e.forwarder.again(now) {
+	if !e.route.Idempotent || e.sent >= e.route.Attempts || !e.service.again(now) {
 		return
 	}
 	_ = level.Info(e.logger).Log("msg", "second try", "service", e.service.name, "after", now.Sub(e.Arrived))
--- a/internal/process/forwarder/request.go
+++ b/internal/process/forwarder/request.go
@@ -60,7 +60,6 @@
 // Serve answers one request; the context ends when its client has left.
 func (f *Forwarder) Serve(ctx context.Context, q *acceptor.Request) *acceptor.Answer {
 	now := q.Arrived
-	f.count(now)
 	id := q.Header.Get(f.options.Dialect.ID)
 	logger := log.With(f.options.Logger, "request", id)
 	table := f.options.Table()
@@ -83,6 +82,7 @@
 		service: f.service(f.splitter.Pick(route)),
 		limit:   now.Add(min(left, route.Timeout)), logger: logger,
 	}
+	r.service.count(now)
 	r.fingerprint = quarantiner.Sum("", r.service.name, route.Name, q.Method, q.Target, q.Body)
 	answer, o := r.admit(ctx)
 	return f.finish(logger, r.service.name, o, now, answer)
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -48,6 +48,9 @@
 	placer  *placer.Placer
 	probes  budgeter.Probes
 	targets int
+	// budget guards retries.
+	budget  sync.Mutex
+	retries budgeter.Retries
 	// waiting holds where the decision on each waiting request goes.
 	waiting map[*placer.Ticket]chan decision
 	timer   *time.Timer
@@ -55,6 +58,7 @@
 
 func newService(f *Forwarder, name string) *service {
 	s := &service{forwarder: f, name: name, waiting: map[*placer.Ticket]chan decision{}}
+	s.retries.Window = f.bounds.Load().Window
 	s.placer = placer.New(f.options.Zone, rand.Float64, s.allow)
 	s.placer.Scouted = f.options.Scouted
 	s.timer = time.AfterFunc(never, s.wake)
@@ -63,7 +67,7 @@
 
 // allow grants probes within this instance's share.
 func (s *service) allow(n int, now time.Time) int {
-	rate := s.forwarder.probeRate() * float64(s.targets)
+	rate := s.forwarder.bounds.Load().Probes * float64(s.targets)
 	granted := s.probes.Take(n, rate, s.forwarder.options.Fleet(), now)
 	if granted < n {
 		s.forwarder.counters.withheld.Inc(int64(n - granted))
@@ -71,6 +75,22 @@
 	return granted
 }
 
+// count counts one request of a client for the service.
+func (s *service) count(now time.Time) {
+	s.budget.Lock()
+	defer s.budget.Unlock()
+	s.retries.Request(now)
+}
+
+// again grants one more attempt at the service.
+func (s *service) again(now time.Time) bool {
+	s.budget.Lock()
+	defer s.budget.Unlock()
+	b := s.forwarder.bounds.Load()
+	s.retries.Ratio, s.retries.Allowance = b.Ratio, b.Allowance
+	return s.retries.Take(now, s.forwarder.options.Fleet())
+}
+
 func (s *service) setTargets(usable []registrar.Usable, now time.Time) {
 	targets := make([]placer.Target, 0, len(usable))
 	for _, u := range usable {
--- a/internal/request/budgeter/budgeter_test.go
+++ b/internal/request/budgeter/budgeter_test.go
@@ -98,7 +98,7 @@
 			granted++
 		}
 	}
-	require.Equal(t, int(safety*allowance/4), granted)
+	require.Equal(t, int(allowanceSafety*allowance/4), granted)
 	require.False(t, r.Take(now.Add(window), 4))
 	require.True(t, r.Take(now.Add(window+time.Second), 4))
 }
--- a/internal/request/budgeter/retries.go
+++ b/internal/request/budgeter/retries.go
@@ -5,12 +5,15 @@
 const (
 	// slices is the number of parts that a window is counted in.
 	slices = 20
-	// safety is the part of the fleet's budget that is used: members that are
+	// ratioSafety is the part of the ratio that is used: attempts near the end of a
+	// window may arrive after the requests that pay for them have left it.
+	ratioSafety = 0.9
+	// allowanceSafety is the part of the allowance that is used: members that are
 	// unknown here, and restarted ones that begin with a new share, take the rest.
-	safety = 0.6
+	allowanceSafety = 0.6
 )
 
-// Retries grants attempts beyond the first within any window of a given length:
+// Retries grants attempts beyond the first at one service within any window of a given length:
 // a ratio of the window's requests, and a share of the fleet's allowance.
 type Retries struct {
 	// Ratio is the number of additional attempts per request.
@@ -36,7 +39,7 @@
 	used := r.attempts.sum(slot, slices+1)
 	// Requests of the running slice may have come after the attempt's window.
 	earned := r.requests.sum(slot, slices)
-	limit := safety * (r.Ratio*earned + r.Allowance/float64(max(fleet, 1)))
+	limit := ratioSafety*r.Ratio*earned + allowanceSafety*r.Allowance/float64(max(fleet, 1))
 	if used+1 > limit {
 		return false
 	}
