--- a/internal/process/commander/commander.go
+++ b/internal/process/commander/commander.go
@@ -41,7 +41,7 @@
 	}
 	c.AddCommand(
 		newServe(), newAsk(), newCost(), newExplain(),
-		newCheck(), newShow(), newSettings(), newCallers(), newTrace(), newLogs(), newVersion(),
+		newCheck(), newShow(), newSettings(), newCallers(), newTrace(), newLogs(), newCounters(), newVersion(),
 	)
 	return c
 }
--- a/internal/process/commander/trace.go
+++ b/internal/process/commander/trace.go
@@ -10,6 +10,7 @@
 
 	"oriolecourse.example/oriolecourse/internal/process/correlator"
 	"oriolecourse.example/oriolecourse/internal/process/journaler"
+	"oriolecourse.example/oriolecourse/internal/process/meter"
 )
 
 func newTrace() *cobra.Command {
@@ -42,6 +43,15 @@
 	return trace.Wrap(err, path)
 }
 
+func newCounters() *cobra.Command {
+	return &cobra.Command{
+		Use:   "counters",
+		Short: "Print the reference page of the counters of an instance on a platform",
+		Args:  cobra.NoArgs,
+		RunE:  func(c *cobra.Command, _ []string) error { return meter.Print(c.OutOrStdout()) },
+	}
+}
+
 func newLogs() *cobra.Command {
 	return &cobra.Command{
 		Use:   "logs",
--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -265,11 +265,16 @@
 func (i *Instance) refresh(ctx context.Context) error {
 	ticker := time.NewTicker(refreshEvery)
 	defer ticker.Stop()
+	var gauged time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
+			if now.Sub(gauged) >= gaugeEvery {
+				gauged = now
+				i.gauge(now)
+			}
 			if i.registrar.Expire(now) {
 				i.forwarder.SetTargets(i.registrar.Usable(), now)
 			}
--- /dev/null
+++ b/internal/process/composer/gauges.go
@@ -0,0 +1,48 @@
+package composer
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"oriolecourse.example/oriolecourse/internal/process/detector"
+	"oriolecourse.example/oriolecourse/internal/process/registrar"
+)
+
+// gaugeEvery is the time between two updates of the gauges; the page of counters is
+// renewed as often.
+const gaugeEvery = time.Second
+
+// gauge updates the gauges.
+func (i *Instance) gauge(now time.Time) {
+	s := i.options.Scope
+	set := func(s tally.Scope, name string, n int) { s.Gauge(name).Update(float64(n)) }
+	ready := 0
+	if i.Ready() {
+		ready = 1
+	}
+	set(s, "ready", ready)
+	set(s, "client_connections", i.acceptor.Open())
+	set(s, "client_requests", i.acceptor.Busy())
+	set(s, "target_connections", i.forwarder.Connections())
+	if t := i.tables.Current(); t != nil {
+		s.Gauge("settings_version").Update(float64(t.Version))
+	}
+	for _, f := range i.forwarder.Figures(now) {
+		tagged := s.Tagged(map[string]string{"service": f.Service})
+		set(tagged, "waiting", f.Waiting)
+		set(tagged, "retries_left", f.Retries)
+	}
+	for service, states := range i.registrar.Count() {
+		for state, n := range states {
+			set(s.Tagged(map[string]string{"service": service, "state": registrar.State(state).String()}), "targets", n)
+		}
+	}
+	members := map[detector.State]int{}
+	for _, m := range i.relayer.Members() {
+		members[m.State]++
+	}
+	for state := detector.Alive; state <= detector.Ended; state++ {
+		set(s.Tagged(map[string]string{"state": state.String()}), "members", members[state])
+	}
+}
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -149,3 +151,26 @@
 // SetBudget puts other bounds in force. What was used under the old ones counts;
 // the window stays as it was.
 func (f *Forwarder) SetBudget(b Budget) { f.bounds.Store(&b) }
+
+// Figures are figures of one service for operators.
+type Figures struct {
+	Service string
+	// Waiting is the number of requests that wait for a target, Retries that of
+	// further attempts that the budget grants now.
+	Waiting, Retries int
+}
+
+// Figures returns the figures of all services.
+func (f *Forwarder) Figures(now time.Time) []Figures {
+	f.mutex.Lock()
+	services := slices.Collect(maps.Values(f.services))
+	f.mutex.Unlock()
+	var all []Figures
+	for _, s := range services {
+		all = append(all, s.figures(now))
+	}
+	return all
+}
+
+// Connections returns the number of open connections to targets.
+func (f *Forwarder) Connections() int { return f.exchanger.Open() }
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -91,6 +91,15 @@
 	return s.retries.Take(now, s.forwarder.options.Fleet())
 }
 
+func (s *service) figures(now time.Time) Figures {
+	s.mutex.Lock()
+	waiting := s.placer.Waiting()
+	s.mutex.Unlock()
+	s.budget.Lock()
+	defer s.budget.Unlock()
+	return Figures{Service: s.name, Waiting: waiting, Retries: s.retries.Left(now, s.forwarder.options.Fleet())}
+}
+
 func (s *service) setTargets(usable []registrar.Usable, now time.Time) {
 	targets := make([]placer.Target, 0, len(usable))
 	for _, u := range usable {
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -27,6 +27,7 @@
 	Leaving
 	// Gone runs are no longer listed.
 	Gone
+	stateCount
 )
 
 // String returns the name of the state.
@@ -190,3 +191,16 @@
 	}
 	return all
 }
+
+// Count returns the number of runs in each state, by service.
+func (r *Registrar) Count() map[string][stateCount]int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	all := map[string][stateCount]int{}
+	for _, e := range r.entries {
+		n := all[e.run.Service]
+		n[e.state]++
+		all[e.run.Service] = n
+	}
+	return all
+}
