Let the soak judge every promise, and prove that tests catch broken builds

The soak judged at most once, true refusals, whole answers and the calm end. It now has proxies between instances and before clients, clients that keep to an instance until it is gone, and schedules that shrink; each fault is recorded with what it excuses, so that drain, configurations, the retry budget, losses at sound targets, timeouts and memory are judged wherever nothing excuses them.

Builds that break a promise are made by edits that the compiler takes in place of files, so that the program has no seam for it. The same way 19 tests run on a broken variant.

A stop keeps 0.12 of the grace for its farewell in place of 200 ms, since a connection may wait 400 ms for its reader.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build test lint fmt demo bench measure
+.PHONY: build test lint fmt demo bench measure soak broken
 
 # Compiles both programs into bin/.
 build:
@@ -30,3 +30,15 @@
 # Times and costs of a fleet; PARTS names the parts, all by default.
 measure: build
 	scripts/measure.sh $(PARTS)
+
+# Real processes under faults, checked from outside: SEED is the first seed, a fresh
+# one by default; further ones follow for MINUTES.
+SEED ?= $(shell date +%s)
+MINUTES ?= 0
+soak: build
+	bin/standin soak --seed $(SEED) --for $(MINUTES)m --shrink
+
+# Shows that tests and the soak catch builds that break a promise on purpose; takes
+# about a quarter of an hour.
+broken:
+	ORIOLE_BROKEN=1 $(GO) test -timeout 60m -run 'TestBroken' -v ./internal/standin/breaker ./platform/soak
--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -72,9 +72,12 @@
 
 // Options holds what an instance is built from.
 type Options struct {
-	// Front serves clients; Peer serves the other instances.
+	// Front serves clients; Peer is where the other instances find this one.
 	Front, Peer netip.AddrPort
-	Zone        string
+	// Listen is the address to accept other instances on, behind a forwarder of
+	// connections; Peer when not valid.
+	Listen netip.AddrPort
+	Zone   string
 	// Seeds are peer addresses to try first; they may be stale.
 	Seeds   []netip.AddrPort
 	Keys    framer.Keys
@@ -137,7 +140,7 @@
 		Lost: i.spreadLoss, Left: i.targetLeft, Scouted: i.scouted, Seek: i.seek, Logger: o.Logger, Scope: o.Scope,
 	})
 	i.relayer = relayer.New(relayer.Options{
-		Self: i.self, Incarnation: rand.Uint64() | 1, Seeds: o.Seeds, Period: pingPeriod, Remote: remotePings,
+		Self: i.self, Listen: o.Listen, Incarnation: rand.Uint64() | 1, Seeds: o.Seeds, Period: pingPeriod, Remote: remotePings,
 		Keys:      func() framer.Keys { return o.Keys },
 		Documents: i.document, Offer: i.offered, Rumor: i.hear, Vouched: i.vouched, Current: i.current, Members: i.membersChanged,
 		Find:   i.find,
--- a/internal/process/composer/life.go
+++ b/internal/process/composer/life.go
@@ -13,8 +13,9 @@
 	// acceptShare is the part of the grace in which new connections and requests
 	// are still taken, for clients that hold an answer that names this instance.
 	acceptShare = 0.5
-	// exitMargin is kept free before the kill.
-	exitMargin = 200 * time.Millisecond
+	// exitShare is the part of the grace that is kept free before the kill, for the
+	// farewell to the other instances. Users excuse what still runs in the last sixth.
+	exitShare = 0.12
 	// busyEvery is the time between two looks whether requests are under way.
 	busyEvery = 20 * time.Millisecond
 )
@@ -48,8 +49,9 @@
 	i.leaving.Store(true)
 	i.relayer.Leave(began)
 	i.acceptor.Leave()
-	last := began.Add(i.options.Grace - exitMargin)
-	time.Sleep(time.Duration(acceptShare * float64(i.options.Grace)))
+	share := func(part float64) time.Duration { return time.Duration(part * float64(i.options.Grace)) }
+	last := began.Add(share(1 - exitShare))
+	time.Sleep(share(acceptShare))
 	l.Close()
 	i.acceptor.Idle()
 	for i.acceptor.Busy() > 0 && time.Now().Before(last) {
--- a/internal/process/journaler/journaler.go
+++ b/internal/process/journaler/journaler.go
@@ -18,6 +18,8 @@
 	capacity = 2048
 	// reserved is the part of them that only lines of warnings and errors use.
 	reserved = 512
+	// batch is the number of lines that are written at once.
+	batch = 64
 	// rate and burst bound the lines of one kind per second; warnings get warnRate.
 	rate     = 40.0
 	warnRate = 80.0
@@ -144,7 +146,7 @@
 
 // gather joins the lines that wait, to write them at once.
 func (j *Journaler) gather(line []byte) []byte {
-	for range len(j.lines) {
+	for range min(len(j.lines), batch-1) {
 		select {
 		case next := <-j.lines:
 			line = append(line, next...)
--- a/internal/process/journaler/journaler_test.go
+++ b/internal/process/journaler/journaler_test.go
@@ -34,12 +34,16 @@
 	for k := range 3 * capacity {
 		require.NoError(t, j.Log("msg", fmt.Sprintf("kind %d", k%200), "n", k))
 	}
-	// Warnings still have room.
+	// Warnings still have room, up to a bound.
 	require.NoError(t, level.Warn(j).Log("msg", "grave"))
+	for k := range 2 * capacity {
+		require.NoError(t, level.Warn(j).Log("msg", fmt.Sprintf("kind %d", k%200), "n", k))
+	}
 	close(w.release)
 	j.Close()
-	lines := strings.Count(w.String(), "\n")
-	require.LessOrEqual(t, lines, capacity+10)
+	told := strings.Count(w.String(), `msg="lines omitted"`)
+	require.LessOrEqual(t, strings.Count(w.String(), "\n")-told, capacity+batch+1, "the lines that wait, and those being written")
+	require.LessOrEqual(t, told, 400, "one for each kind")
 	require.Contains(t, w.String(), "msg=grave")
 }
 
--- a/internal/process/relayer/pool.go
+++ b/internal/process/relayer/pool.go
@@ -19,8 +19,8 @@
 	// after which a connection is no longer used.
 	stalledLink = 3 * time.Second
 	// lingerTimeout bounds the wait for a peer to read what was sent before a
-	// stop: a lost packet is sent again after 200 ms, and once more after 400 ms.
-	lingerTimeout = 700 * time.Millisecond
+	// stop: a lost packet is sent again after 200 ms.
+	lingerTimeout = 400 * time.Millisecond
 )
 
 // pool holds one connection per peer, dialed by either side.
--- /dev/null
+++ b/internal/standin/breaker/variants_test.go
@@ -0,0 +1,123 @@
+package breaker
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// brokenVariable asks for the runs of the tests on their broken variants, which
+// take minutes.
+const brokenVariable = "ORIOLE_BROKEN"
+
+// variant is an edit by which a test must fail.
+type variant struct {
+	test, directory string
+	edits           []Edit
+}
+
+var variants = []variant{
+	{"TestProbesKeepTheShare", "internal/request/budgeter", []Edit{{
+		"internal/request/budgeter/probes.go", "float64(max(fleet, 1))", "float64(max(fleet/2, 1))",
+	}}},
+	{"TestLeavingRunNeverReturns", "internal/process/registrar", []Edit{{
+		"internal/process/registrar/registrar.go", "if e.left.IsZero() || state == Leaving {", "if true {",
+	}}},
+	{"TestReusedAddressRunsNothingOfAnother", "platform", []Edit{{
+		"internal/process/forwarder/race.go", "	h.Set(d.Target, g.Target.Name)\n", "",
+	}, {
+		"internal/process/forwarder/service.go", "name != \"\" && name != t.Name {", "name != \"\" && false {",
+	}}},
+	{"TestAnotherReadsWithinTwoSeconds", "internal/process/syncer", []Edit{{
+		"internal/process/syncer/turn.go", "	patience = Wait + 300*time.Millisecond\n", "	patience = Wait + 2*time.Second\n",
+	}}},
+	{"TestChangesArriveThroughTroubleOfTheStore", "platform", []Edit{{
+		"platform/source.go", "	if errors.Is(err, errHistory) {\n		return s.refresh(ctx)\n	}\n", "",
+	}, {
+		"internal/process/syncer/syncer.go", "oldest = 5 * time.Second", "oldest = time.Hour",
+	}}},
+	{"TestFirstReadIsCurrent", "platform", []Edit{{
+		"platform/store.go", "oldest = min(oldest, p.At)", "oldest = p.At",
+	}}},
+	{"TestSplitterIsExact", "internal/version/router", []Edit{{
+		"internal/version/router/splitter.go", "	credit[best] -= total\n", "	credit[best] -= total - 1\n",
+	}}},
+	{"TestStopCutsNothing", "platform", []Edit{{
+		"internal/process/composer/life.go", "	time.Sleep(share(acceptShare))\n", "",
+	}, {
+		"internal/process/composer/life.go", "for i.acceptor.Busy() > 0 && time.Now().Before(last) {", "for false && time.Now().Before(last) {",
+	}}},
+	{"TestNothingIsSmuggled", "internal/connection/acceptor", []Edit{{
+		"internal/connection/acceptor/conn.go", "	h, err := parseHead(head)\n", "	h, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))\n",
+	}, {
+		"internal/connection/acceptor/conn.go", "	\"bufio\"\n", "	\"bufio\"\n	\"bytes\"\n",
+	}}},
+	{"TestEachTicketEndsOnce", "internal/request/placer", []Edit{{
+		"internal/request/placer/step.go", "			a.Refusals = append(a.Refusals, r)\n			continue\n", "			a.Refusals = append(a.Refusals, r)\n",
+	}}},
+	{"TestCrashingRequestIsHeldBack", "platform", []Edit{{
+		"internal/process/forwarder/request.go", "	case quarantiner.Quarantined, quarantiner.Busy:\n", "	case quarantiner.Busy:\n",
+	}}},
+	{"TestStalledWriterCostsLinesAndBlocksNobody", "internal/process/journaler", []Edit{{
+		"internal/process/journaler/journaler.go", "	select {\n	case j.lines <- line:\n	default:\n		j.omit(b)\n	}\n", "	j.lines <- line\n",
+	}}},
+	{"TestFailuresAreExplained", "platform", []Edit{{
+		"internal/process/forwarder/race.go", `"waited", time.Since(e.Arrived), "return", d.refusal.Return)`, `"return", d.refusal.Return)`,
+	}, {
+		"internal/process/forwarder/race.go", `"reason", d.refusal.Reason,`, "",
+	}}},
+	{"TestSeeksRoomInAnotherZone", "platform", []Edit{{
+		"internal/process/composer/composer.go", "		Find:   i.find,\n", "",
+	}}},
+	{"TestRumorsCrossToOtherPlacesOnce", "internal/process/relayer", []Edit{{
+		"internal/process/relayer/packet.go", "	to := sample(members, own, fanout)\n", "	to := sample(members, \"\", fanout)\n",
+	}}},
+	{"TestFinishedConnectionIsReadToItsEnd", "internal/connection/framer", []Edit{{
+		"internal/connection/framer/conn.go", "	return trace.Wrap(half.CloseWrite())\n", "	_ = half\n	return trace.Wrap(c.socket.Close())\n",
+	}}},
+	{"TestEachServicePaysItsOwnRetries", "internal/process/forwarder", []Edit{{
+		"internal/process/forwarder/service.go", "	s.retries.Request(now)\n", "	s.retries.Request(now)\n	for _, o := range s.forwarder.services {\n		if o != s {\n			o.retries.Request(now)\n		}\n	}\n",
+	}}},
+	{"TestLendsEachSlotOnce", "internal/request/placer", []Edit{{
+		"internal/request/placer/abroad.go", "		s.load.Running++\n", "",
+	}}},
+	{"TestLargeZonesWaitForThePlatform", "internal/process/syncer", []Edit{{
+		"internal/process/syncer/turn.go", "delay = min(delay*time.Duration(max(instances, crowd))/crowd, backoffLongest)", "_ = backoffLongest",
+	}}},
+}
+
+// Each test fails on its broken variant. Without the variable only the edits are
+// checked, which have to follow the code.
+func TestBrokenVariantsAreRejected(t *testing.T) {
+	root, err := filepath.Abs(filepath.Join("..", "..", ".."))
+	require.NoError(t, err)
+	for _, v := range variants {
+		t.Run(v.test, func(t *testing.T) {
+			overlay, err := Overlay(root, t.TempDir(), v.edits)
+			require.NoError(t, err)
+			if os.Getenv(brokenVariable) == "" {
+				return
+			}
+			c := exec.Command("go", "test", "-overlay", overlay, "-run", "^"+v.test+"$", "-timeout", "60s", "./"+v.directory)
+			c.Dir = root
+			out, err := c.CombinedOutput()
+			require.Error(t, err, "the test passes on its broken variant: %s", out)
+			require.Regexp(t, `--- FAIL: `+v.test+`|panic: test timed out`, string(out))
+		})
+	}
+}
+
+// An edit that no longer fits the code is told.
+func TestOverlayRefusesEditsThatDoNotFit(t *testing.T) {
+	root := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(root, "a.go"), []byte("package a\nvar b, bb int\n"), 0o600))
+	for _, text := range []string{"ccc", "b"} {
+		_, err := Overlay(root, t.TempDir(), []Edit{{"a.go", text, "d"}})
+		require.Error(t, err)
+	}
+	_, err := Overlay(root, t.TempDir(), []Edit{{"a.go", "bb", "c"}, {"a.go", "c int", "d int"}})
+	require.NoError(t, err, "a later edit finds what an earlier one left")
+}
