Let a first read count like a vouching, and wait for the others' first word

Counted in a trial by call and time: each of 98 instances read once and then made three more calls in the first second, as it had not yet heard of an instance before it. Ruled out: the number of pages, and the readers of the zones.

Change: the call after the first read comes 1.2 s later (0.1 s before a copy that nobody vouches for is read anew), and the first read counts like a vouching if an instance comes before this one. Bounds on the effect of news are 2 s.

--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -19,6 +19,9 @@
 	// beside the bounds on the effect of news, two seconds.
 	gatherLeast = 100 * time.Millisecond
 	gatherMost  = 400 * time.Millisecond
+	// joining is the time after the first call in which a starting instance hears of
+	// the others of its zone. A copy may be as old without any vouching.
+	joining = patience - 100*time.Millisecond
 	// oldest is the age up to which a copy is brought up to date by its changes
 	// and not read anew; the platform keeps its history longer.
 	oldest = 5 * time.Second
@@ -127,8 +130,12 @@
 	if err != nil {
 		return 0
 	}
+	first := s.read.IsZero()
 	s.read = now
 	s.Vouch(now)
+	if first {
+		return joining
+	}
 	s.gather = nextGather(s.gather, took)
 	return s.gather - took
 }
--- a/internal/process/syncer/syncer_test.go
+++ b/internal/process/syncer/syncer_test.go
@@ -196,3 +196,23 @@
 	require.Equal(t, 1, vouched)
 	require.Positive(t, pause)
 }
+
+// After a start of all, an instance that has read waits for one that comes before it,
+// as after a vouching; alone it reads on, and later its first read says nothing.
+func TestFirstReadCountsLikeAVouching(t *testing.T) {
+	start := time.Unix(100, 0)
+	due := func(others int, after time.Duration) bool {
+		turn := &Turn{Random: func() float64 { return 0 }}
+		turn.Finish(false, others+1, start)
+		var before []netip.AddrPort
+		for i := range others {
+			before = append(before, peer(i))
+		}
+		is, _ := turn.Due(start.Add(after), before)
+		return is
+	}
+	require.True(t, due(0, joining))
+	require.False(t, due(3, joining))
+	require.True(t, due(3, patience+3*step))
+	require.Less(t, joining+callTimeout/4, patience+stepMost, "current within the same time as after a vouching")
+}
--- a/internal/process/syncer/turn.go
+++ b/internal/process/syncer/turn.go
@@ -35,6 +35,8 @@
 	// Random returns a number from 0 up to 1.
 	Random func() float64
 
+	// read is when the instance has read for the first time.
+	read time.Time
 	// vouched holds when each peer vouched last.
 	vouched map[netip.AddrPort]time.Time
 	// failures counts failed calls in a row; next is when another call may be made.
@@ -67,6 +69,11 @@
 			newest = at
 		}
 	}
+	// A first read counts like a vouching: after a start of all, only those that come
+	// first read on.
+	if len(before) > 0 && t.read.After(newest) {
+		newest = t.read
+	}
 	if newest.IsZero() {
 		return true, now
 	}
@@ -78,6 +85,9 @@
 func (t *Turn) Finish(failed bool, instances int, now time.Time) {
 	if !failed {
 		t.failures, t.next = 0, now
+		if t.read.IsZero() {
+			t.read = now
+		}
 		return
 	}
 	delay := min(backoffLeast<<min(t.failures, 4), backoffMost)
