--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -34,15 +34,6 @@
 	// refreshEvery is the time between looks for runs whose time is over and for
 	// idle connections.
 	refreshEvery = 250 * time.Millisecond
-	// catchUp bounds the time in which a starting instance asks its peers.
-	catchUp = 500 * time.Millisecond
-	// platformFirst is how long a starting instance waits for the platform before it
-	// asks peers for documents, which are large and may come from other zones. The
-	// platform answers within milliseconds, or is out of order.
-	platformFirst = 250 * time.Millisecond
-	// trust is how long a starting instance waits for the platform, or for a peer
-	// that vouches, before it serves by documents of peers alone.
-	trust = 2500 * time.Millisecond
 	// pingPeriod is the time between two pings of an instance. Its zone is a handful of
 	// instances, and clients are told of one that is silent within a round.
 	pingPeriod = 200 * time.Millisecond
@@ -54,8 +45,6 @@
 	// or so.
 	pageTimeout = time.Second
 	pageIdle    = 10 * time.Second
-	// readyEvery is the time between two looks whether a starting instance is ready.
-	readyEvery = 5 * time.Millisecond
 	// memoryShare is the part of the memory that request bodies may use.
 	memoryShare = 0.25
 	// reservedFiles are descriptors that are not used for clients.
@@ -201,61 +190,6 @@
 	return nil
 }
 
-// enter makes the instance ready once its documents can be relied on.
-func (i *Instance) enter(ctx context.Context) error {
-	go i.askPeers(ctx)
-	ticker := time.NewTicker(readyEvery)
-	defer ticker.Stop()
-	for !i.settled(time.Now()) {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return nil
-		}
-	}
-	i.ready.Store(true)
-	_ = level.Info(i.options.Logger).Log("msg", "ready", "after", time.Since(i.began),
-		"settings", i.tables.Stamp(), "targets", i.lists.Stamp())
-	<-ctx.Done()
-	return nil
-}
-
-// askPeers takes in what peers know: documents, in case the platform is out of
-// reach, and rumors.
-func (i *Instance) askPeers(ctx context.Context) {
-	i.awaitPlatform(ctx)
-	ctx, cancel := context.WithTimeout(ctx, catchUp)
-	defer cancel()
-	reached := i.relayer.Catchup(ctx, nil)
-	i.caughtUp.Store(reached > 0)
-	_ = level.Info(i.options.Logger).Log("msg", "peers asked", "reached", reached)
-}
-
-// awaitPlatform returns once the first call to the platform has ended, or after
-// platformFirst.
-func (i *Instance) awaitPlatform(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, platformFirst)
-	defer cancel()
-	ticker := time.NewTicker(readyEvery)
-	defer ticker.Stop()
-	for i.syncer.Current().IsZero() && !i.syncer.Lost() {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// settled reports whether the documents are known to be current, or as current
-// as can be had while the platform is out of reach.
-func (i *Instance) settled(now time.Time) bool {
-	if i.tables.Current() == nil || i.lists.Current() == nil {
-		return false
-	}
-	return !i.syncer.Current().IsZero() || i.caughtUp.Load() && i.syncer.Lost() || now.Sub(i.began) > trust
-}
-
 // Ready reports whether the instance takes clients.
 func (i *Instance) Ready() bool { return i.ready.Load() && !i.leaving.Load() }
 
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -123,17 +123,6 @@
 // Hear takes in what a peer told of a lost request.
 func (f *Forwarder) Hear(r quarantiner.Rumor, now time.Time) { f.quarantiner.Hear(r, now) }
 
-// Lend returns targets of the own zone that have room for a request of another zone.
-func (f *Forwarder) Lend(ctx context.Context, service string) []placer.Loan {
-	f.mutex.Lock()
-	s := f.services[service]
-	f.mutex.Unlock()
-	if s == nil {
-		return nil
-	}
-	return s.lend(ctx)
-}
-
 // Sweep closes connections that have been idle for too long.
 func (f *Forwarder) Sweep(now time.Time) { f.exchanger.Sweep(now) }
 
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -20,9 +20,6 @@
 	// probeTimeout ends a probe. A target that answers later than the placer waits
 	// keeps its connection.
 	probeTimeout = 150 * time.Millisecond
-	// seekTimeout ends a question to another zone. The placer waits less, and what
-	// is told later is out of date.
-	seekTimeout = 60 * time.Millisecond
 	// connectionShare is the part of a target's connections that the fleet uses;
 	// instances that are not known here use the rest.
 	connectionShare = 0.7
@@ -202,66 +199,6 @@
 	return max(int(share), connectionLeast)
 }
 
-// seek asks an instance of another zone for room there.
-func (s *service) seek(zone string, asked time.Time) {
-	f := s.forwarder
-	f.counters.searches.Inc(1)
-	ctx, cancel := context.WithTimeout(context.Background(), seekTimeout)
-	defer cancel()
-	loans := f.options.Seek(ctx, zone, s.name)
-	now := time.Now()
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for _, l := range loans {
-		s.placer.Report(l.ID, l.Load, asked, now)
-	}
-	s.placer.Sought(zone)
-	s.step(now)
-}
-
-// lend returns targets near by that have room, after asking some.
-func (s *service) lend(ctx context.Context) []placer.Loan {
-	now := time.Now()
-	loans, asked := s.scout(now)
-	answered := make(chan struct{}, len(asked))
-	for _, t := range asked {
-		go func() {
-			s.probe(t, now)
-			answered <- struct{}{}
-		}()
-	}
-	for left := len(asked); left > 0 && len(loans) == 0; left-- {
-		select {
-		case <-answered:
-			loans = s.loans(placer.Excellent)
-		case <-ctx.Done():
-			left = 0
-		}
-	}
-	if len(asked) > 0 && len(loans) == 0 {
-		loans = s.loans(placer.Any)
-	}
-	s.forwarder.counters.lent.Inc(int64(len(loans)))
-	return loans
-}
-
-// scout returns the targets that are known to have room or, if there are none,
-// those to ask.
-func (s *service) scout(now time.Time) ([]placer.Loan, []placer.Target) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if loans := s.placer.Lend(placer.Excellent, now); len(loans) > 0 {
-		return loans, nil
-	}
-	return nil, s.placer.Scout(now)
-}
-
-func (s *service) loans(factor float64) []placer.Loan {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.placer.Lend(factor, time.Now())
-}
-
 // probe asks a target for its load.
 func (s *service) probe(t placer.Target, asked time.Time) {
 	f := s.forwarder
--- a/internal/request/placer/abroad.go
+++ b/internal/request/placer/abroad.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -10,12 +11,13 @@
 	// Excellent is the factor up to which a target is named without waiting for the
 	// answers of others.
 	Excellent = excellent
-	// Any is the factor up to which a target is named at all.
-	Any = worstOwn * 10
+	// Any is a factor that no target has.
+	Any = math.MaxFloat64
 	// lendMost is the number of targets that are named to another zone at once: one
 	// to use and one in case that another request takes it first.
 	lendMost = 2
-	// farZones is the number of other zones in which room is looked for at once.
+	// farZones is the number of other zones in which room is looked for at once; each
+	// question is about a tenth of a request's bytes.
 	farZones = 2
 )
 
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -25,7 +25,7 @@
 	nearFan = 4
 	farFan  = 3
 	// familiarity is how long after a report a connection to the target is taken to be
-	// open still. Targets close idle ones after some seconds.
+	// open still: half of the idle timeout of common targets, 10 s.
 	familiarity = 5 * time.Second
 	// homeRounds is the number of rounds after which targets of other zones are
 	// asked too: bytes between zones cost more than a short wait.
