Keep connections to all of a zone, and fetch no documents when current

Two causes by reading, not yet shown one by one: a reader with 100 instances in its zone and 64 pooled connections closes and dials some at every vouching, so that instances count as out of date and take documents from anywhere; and a starting instance fetched lists from seeds of other zones whose revision was a little higher than that of its own first read.

Change: up to 512 pooled connections; an instance that is current from the platform fetches no documents when it starts.

--- a/internal/process/relayer/document.go
+++ b/internal/process/relayer/document.go
@@ -246,6 +246,10 @@
 		return false
 	}
 	r.hear(h.Rumors, time.Now())
+	if r.options.Current(time.Now()) {
+		// Lists of the same content have other revisions, and are large.
+		return true
+	}
 	for k := range kindCount {
 		if !h.Stamps[k].newer(r.stamps()[k]) || r.options.Offer == nil {
 			continue
--- a/internal/process/relayer/pool.go
+++ b/internal/process/relayer/pool.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// maxLinks bounds the pooled connections; the least used goes first.
-	maxLinks = 64
+	// maxLinks bounds the pooled connections; the least used goes first. It is above
+	// the size of a zone of a fleet of 1,100, in which a reader talks with everybody.
+	maxLinks = 512
 	// idleLink is the time after which an unused connection is closed.
 	idleLink = 2 * time.Minute
 	// stalledLink is the time after a ping without any sign from the other side
