Wait for the end of the first read before peers are asked for documents

The first read of 3,001 targets takes 61 pages, longer than the 250 ms after which a starting instance asked three seeds, two of them in other zones, for the list: 600 lists of some 80 kB are about that.

Change: 1.5 s. A call that fails ends the wait as before, so that a start while the platform is out of order is no slower.

--- a/internal/process/composer/start.go
+++ b/internal/process/composer/start.go
@@ -10,10 +10,11 @@
 const (
 	// catchUp bounds the time in which a starting instance asks its peers.
 	catchUp = 500 * time.Millisecond
-	// platformFirst is how long a starting instance waits for the platform before it
-	// asks peers for documents, which are large and may come from other zones. The
-	// platform answers within milliseconds, or is out of order.
-	platformFirst = 250 * time.Millisecond
+	// platformFirst is how long a starting instance waits for its first read of the
+	// platform to end before it asks peers for documents, which are large and may come
+	// from other zones. Some sixty pages of 3,000 targets take half a second; a call
+	// that fails ends the wait.
+	platformFirst = 1500 * time.Millisecond
 	// trust is how long a starting instance waits for the platform, or for a peer
 	// that vouches, before it serves by documents of peers alone.
 	trust = 2500 * time.Millisecond
