Grant no share of the retry allowance in the first window after a start

A process that starts began with a full share of the fleet's allowance, whatever the one before it had used.

Change: the share is granted once a window has passed since the first request.

A test of the budget expected attempts right after the start; it now expects none then, and as many a window later.

--- a/internal/process/forwarder/forwarder_test.go
+++ b/internal/process/forwarder/forwarder_test.go
@@ -18,6 +18,9 @@
 	})
 	sound, shedding := f.service("sound"), f.service("shedding")
 	now, requests, attempts := time.Unix(1000, 0), 0, 0
+	// The shares of the allowance are granted once a window has passed.
+	require.False(t, sound.again(now) || shedding.again(now))
+	now = now.Add(10 * time.Second)
 	for range 8000 {
 		now = now.Add(time.Millisecond)
 		sound.count(now)
--- a/internal/request/budgeter/budgeter_test.go
+++ b/internal/request/budgeter/budgeter_test.go
@@ -92,6 +92,8 @@
 func TestRetriesGrantAFewWithoutRequests(t *testing.T) {
 	r := &Retries{Ratio: ratio, Allowance: allowance, Window: window}
 	now := time.Unix(5, 0)
+	require.False(t, r.Take(now, 4), "the process before may have used the share")
+	now = now.Add(window)
 	granted := 0
 	for range 100 {
 		if r.Take(now, 4) {
@@ -118,3 +120,20 @@
 	}
 	require.Positive(t, sent)
 }
+
+// Instances that are killed again and again get no new share of the allowance.
+func TestRestartsBringNoAllowance(t *testing.T) {
+	now, requests, attempts := time.Unix(5, 0), 0, 0
+	for range 20 {
+		r := &Retries{Ratio: ratio, Allowance: allowance, Window: window}
+		for range 50 {
+			now = now.Add(10 * time.Millisecond)
+			r.Request(now)
+			requests++
+			for r.Take(now, 1) {
+				attempts++
+			}
+		}
+	}
+	require.LessOrEqual(t, float64(attempts), ratio*float64(requests))
+}
--- a/internal/request/budgeter/retries.go
+++ b/internal/request/budgeter/retries.go
@@ -48,7 +48,11 @@
 	used := r.attempts.sum(slot, slices+1)
 	// Requests of the running slice may have come after the attempt's window.
 	earned := r.requests.sum(slot, slices)
-	limit := ratioSafety*r.Ratio*earned + allowanceSafety*r.Allowance/float64(max(fleet, 1))
+	limit := ratioSafety * r.Ratio * earned
+	if now.Sub(r.start) >= r.Window {
+		// The process that ran here before may have used its share of the allowance.
+		limit += allowanceSafety * r.Allowance / float64(max(fleet, 1))
+	}
 	return max(int(limit-used), 0)
 }
 
