Grant a tenth of the retry allowance in the first window after a start, then half

Change: a tenth in the first window, half later (0.6 before), so that five starts within a window and the share before them stay within the allowance.

--- a/internal/request/budgeter/retries.go
+++ b/internal/request/budgeter/retries.go
@@ -9,8 +9,12 @@
 	// window may arrive after the requests that pay for them have left it.
 	ratioSafety = 0.9
 	// allowanceSafety is the part of the allowance that is used: members that are
-	// unknown here, and restarted ones that begin with a new share, take the rest.
-	allowanceSafety = 0.6
+	// unknown here, and those that have just started, take the rest.
+	allowanceSafety = 0.5
+	// startSafety is that part in the first window after a start, since the process
+	// that ran here before may have used its share: five starts within a window and
+	// the share before them stay within the allowance.
+	startSafety = 0.1
 )
 
 // Retries grants attempts beyond the first at one service within any window of a given length:
@@ -48,11 +52,11 @@
 	used := r.attempts.sum(slot, slices+1)
 	// Requests of the running slice may have come after the attempt's window.
 	earned := r.requests.sum(slot, slices)
-	limit := ratioSafety * r.Ratio * earned
-	if now.Sub(r.start) >= r.Window {
-		// The process that ran here before may have used its share of the allowance.
-		limit += allowanceSafety * r.Allowance / float64(max(fleet, 1))
+	part := allowanceSafety
+	if now.Sub(r.start) < r.Window {
+		part = startSafety
 	}
+	limit := ratioSafety*r.Ratio*earned + part*r.Allowance/float64(max(fleet, 1))
 	return max(int(limit-used), 0)
 }
 
