Let one piece serve where the change had written it again

No change of behaviour; found in a reading of the whole change.

- Pages of log lines and counters are verbs by newPage, as settings and callers are; journaler's own writer that keeps the first error is gone.
- Story.ReadFile in place of the same loop in the command and in the soak.
- Header fields of one connection: one list and one function, acceptor's, also for the product's own interface, whose Strip had a copy.
Expect is taken out where it is answered.
- Placer: what a request may use is computed once in a step and not four times; one draw for targets and zones; the usual speed once for all that join; a counter that nobody read is gone.
- Composer: one list of the zone's live instances, one way to put targets in force.
- A grant to a request that has ended is taken back where decisions are read, and not also where they are made.

--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -160,6 +160,8 @@
 	x := &exchange{method: h.Method, answer: make(chan *Answer, 1), last: h.Close, size: int64(len(body))}
 	q := &Request{Arrived: time.Now(), Method: h.Method, Target: target(h), Host: h.Host, Header: h.Header, Body: body}
 	StripConnection(q.Header)
+	// Answered above, when the body was read.
+	q.Header.Del("Expect")
 	return q, x, nil
 }
 
--- a/internal/connection/acceptor/write.go
+++ b/internal/connection/acceptor/write.go
@@ -65,7 +65,7 @@
 // hopFields concern one connection only and are not passed on (RFC 9110, 7.6.1).
 var hopFields = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
 // StripConnection removes the fields that concern one connection only.
--- a/internal/process/commander/trace.go
+++ b/internal/process/commander/trace.go
@@ -1,11 +1,8 @@
 package commander
 
 import (
-	"fmt"
-	"os"
 	"time"
 
-	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 
 	"oriolecourse.example/oriolecourse/internal/process/correlator"
@@ -22,7 +19,7 @@
 		RunE: func(c *cobra.Command, arguments []string) error {
 			s := &correlator.Story{}
 			for _, path := range arguments[1:] {
-				if err := readLog(s, path); err != nil {
+				if err := s.ReadFile(path); err != nil {
 					return err
 				}
 			}
@@ -33,35 +30,10 @@
 	return c
 }
 
-func readLog(s *correlator.Story, path string) error {
-	f, err := os.Open(path)
-	if err != nil {
-		return trace.ConvertSystemError(err)
-	}
-	defer f.Close()
-	_, err = s.Read(f)
-	return trace.Wrap(err, path)
-}
-
 func newCounters() *cobra.Command {
-	return &cobra.Command{
-		Use:   "counters",
-		Short: "Print the reference page of the counters of an instance on a platform",
-		Args:  cobra.NoArgs,
-		RunE:  func(c *cobra.Command, _ []string) error { return meter.Print(c.OutOrStdout()) },
-	}
+	return newPage("counters", "Print the reference page of the counters of an instance on a platform", meter.Print)
 }
 
 func newLogs() *cobra.Command {
-	return &cobra.Command{
-		Use:   "logs",
-		Short: "Print the reference page of the log lines",
-		Args:  cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			if err := journaler.Print(c.OutOrStdout()); err != nil {
-				return fmt.Errorf("printing the page: %w", err)
-			}
-			return nil
-		},
-	}
+	return newPage("logs", "Print the reference page of the log lines", journaler.Print)
 }
--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -213,35 +214,32 @@
 				i.gauge(now)
 			}
 			if i.registrar.Expire(now) {
-				i.forwarder.SetTargets(i.registrar.Usable(), now)
+				i.useTargets(now)
 			}
 			i.forwarder.Sweep(now)
 		}
 	}
 }
 
-// before returns the live instances of the zone that read before this one.
-func (i *Instance) before() []netip.AddrPort {
+// mates returns the other live instances of the zone.
+func (i *Instance) mates() []netip.AddrPort {
 	var all []netip.AddrPort
 	for _, m := range i.relayer.Members() {
-		if m.State == detector.Alive && m.Instance.Zone == i.self.Zone && m.Instance.Peer.Compare(i.self.Peer) < 0 {
+		if m.State == detector.Alive && m.Instance.Zone == i.self.Zone {
 			all = append(all, m.Instance.Peer)
 		}
 	}
 	return all
 }
 
-// count returns the number of live instances of the zone, this one included.
-func (i *Instance) count() int {
-	n := 1
-	for _, m := range i.relayer.Members() {
-		if m.State == detector.Alive && m.Instance.Zone == i.self.Zone {
-			n++
-		}
-	}
-	return n
+// before returns the live instances of the zone that read before this one.
+func (i *Instance) before() []netip.AddrPort {
+	return slices.DeleteFunc(i.mates(), func(a netip.AddrPort) bool { return a.Compare(i.self.Peer) >= 0 })
 }
 
+// count returns the number of live instances of the zone, this one included.
+func (i *Instance) count() int { return 1 + len(i.mates()) }
+
 func (i *Instance) limits() acceptor.Limits {
 	t := i.tables.Current()
 	if t == nil {
--- a/internal/process/composer/documents.go
+++ b/internal/process/composer/documents.go
@@ -86,6 +86,11 @@
 func (i *Instance) listChanged(l *registrar.List, s adopter.Stamp, now time.Time) {
 	_ = level.Info(i.options.Logger).Log("msg", "targets listed", "version", s, "runs", len(l.Runs), "unsettled", l.Unsettled)
 	i.registrar.Adopt(l, now)
+	i.useTargets(now)
+}
+
+// useTargets lets requests go to what the registrar believes to be usable.
+func (i *Instance) useTargets(now time.Time) {
 	i.forwarder.SetTargets(i.registrar.Usable(), now)
 }
 
--- a/internal/process/composer/peers.go
+++ b/internal/process/composer/peers.go
@@ -54,7 +54,7 @@
 // targetLeft takes in that another target answered at a run's address.
 func (i *Instance) targetLeft(key string, now time.Time) {
 	i.registrar.Leave(key, "another target answered at its address", now)
-	i.forwarder.SetTargets(i.registrar.Usable(), now)
+	i.useTargets(now)
 	i.relayer.Spread(relayer.Rumor{Topic: relayer.Draining, Start: key}, now)
 }
 
@@ -63,7 +63,7 @@
 	switch r.Topic {
 	case relayer.Draining:
 		i.registrar.Leave(r.Start, "a peer", now)
-		i.forwarder.SetTargets(i.registrar.Usable(), now)
+		i.useTargets(now)
 	case relayer.Loss, relayer.Cleared:
 		i.forwarder.Hear(quarantiner.Rumor{
 			Service:     quarantiner.Service{Service: r.Service},
--- a/internal/process/correlator/narrator.go
+++ b/internal/process/correlator/narrator.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"fmt"
 	"io"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -49,6 +50,17 @@
 	return skipped, trace.Wrap(scanner.Err())
 }
 
+// ReadFile takes in the log in a file.
+func (s *Story) ReadFile(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer f.Close()
+	_, err = s.Read(f)
+	return trace.Wrap(err, path)
+}
+
 func (s *Story) add(text string) bool {
 	// Whoever gathers logs may put words of their own before a line.
 	begin := strings.Index(text, "level=")
--- a/internal/process/forwarder/race.go
+++ b/internal/process/forwarder/race.go
@@ -102,10 +102,6 @@
 	go func() {
 		d := e.service.place(e.ctx, t)
 		e.forwarder.counters.waited.RecordDuration(time.Since(began))
-		if d.grant != nil && e.ctx.Err() != nil {
-			e.service.end(d.grant, placer.Canceled, nil, time.Now())
-			d = decision{}
-		}
 		e.decisions <- d
 	}()
 }
--- a/internal/process/journaler/lines.go
+++ b/internal/process/journaler/lines.go
@@ -1,8 +1,8 @@
 package journaler
 
 import (
-	"fmt"
 	"io"
+	"strings"
 
 	"github.com/gravitational/trace"
 )
@@ -89,34 +89,16 @@
 
 // Print writes the reference page of the lines.
 func Print(w io.Writer) error {
-	p := &printer{w: w}
-	p.line("# Log lines\n\nPrinted by `oriolecourse logs` from the records in the code. Lines are logfmt on standard\noutput; `msg` names the kind.\n")
-	p.line("| msg | when | fields |\n| --- | --- | --- |")
+	b := &strings.Builder{}
+	b.WriteString("# Log lines\n\nPrinted by `oriolecourse logs` from the records in the code. Lines are logfmt on standard\noutput; `msg` names the kind.\n\n")
+	b.WriteString("| msg | when | fields |\n| --- | --- | --- |\n")
 	for _, l := range Lines {
-		names := ""
-		for i, f := range l.Fields {
-			if i > 0 {
-				names += ", "
-			}
-			names += f
-		}
-		p.line("| %s | %s | %s |", l.Message, l.When, names)
+		b.WriteString("| " + l.Message + " | " + l.When + " | " + strings.Join(l.Fields, ", ") + " |\n")
 	}
-	p.line("\n| field | holds |\n| --- | --- |")
+	b.WriteString("\n| field | holds |\n| --- | --- |\n")
 	for _, f := range Fields {
-		p.line("| %s | %s |", f.Name, f.Holds)
-	}
-	return trace.Wrap(p.err)
-}
-
-// printer keeps the first error.
-type printer struct {
-	w   io.Writer
-	err error
-}
-
-func (p *printer) line(format string, values ...any) {
-	if p.err == nil {
-		_, p.err = fmt.Fprintf(p.w, format+"\n", values...)
+		b.WriteString("| " + f.Name + " | " + f.Holds + " |\n")
 	}
+	_, err := io.WriteString(w, b.String())
+	return trace.Wrap(err)
 }
--- a/internal/process/syncer/turn.go
+++ b/internal/process/syncer/turn.go
@@ -21,8 +21,9 @@
 	backoffLeast = 150 * time.Millisecond
 	backoffMost  = 700 * time.Millisecond
 	// crowd is the number of instances of a zone, that of the largest zone of a small
-	// site, that call a platform that is out of order as often as that. In a larger zone each waits longer, so that the zone
-	// calls no more often, and hears of the platform's return as soon.
+	// site, that call a platform that is out of order as often as that. In a larger
+	// zone each waits longer, so that the zone calls no more often, and hears of the
+	// platform's return as soon.
 	crowd = 6
 	// backoffLongest bounds the growing time in large zones, for the case that only
 	// one instance reaches the platform.
--- a/internal/request/handler/request.go
+++ b/internal/request/handler/request.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"oriolecourse.example/oriolecourse/internal/connection/acceptor"
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
 	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
 	"oriolecourse.example/oriolecourse/internal/version/resolver"
@@ -98,12 +99,6 @@
 	return asked
 }
 
-// hops are the headers that belong to one connection.
-var hops = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // service names the service for the quarantine.
 func (r *Request) service() quarantiner.Service {
 	return quarantiner.Service{Place: r.Policy.Place, Service: r.Policy.Service}
@@ -113,14 +108,7 @@
 // without those of the callers' interface.
 func Strip(h http.Header) http.Header {
 	kept := h.Clone()
-	for _, list := range h.Values("Connection") {
-		for _, name := range strings.Split(list, ",") {
-			kept.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hops {
-		kept.Del(name)
-	}
+	acceptor.StripConnection(kept)
 	for name := range kept {
 		if strings.HasPrefix(name, headerPrefix) {
 			delete(kept, name)
--- a/internal/request/placer/abroad.go
+++ b/internal/request/placer/abroad.go
@@ -91,9 +91,5 @@
 			direct = append(direct, s)
 		}
 	}
-	for i := range zones {
-		j := i + int(p.Random()*float64(len(zones)-i))
-		zones[i], zones[j] = zones[j], zones[i]
-	}
-	return zones[:min(farZones, len(zones))], p.draw(direct, farFan)
+	return draw(p.Random, zones, farZones), draw(p.Random, direct, farFan)
 }
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -110,10 +110,11 @@
 func (p *Placer) SetTargets(targets []Target) {
 	next := make(map[string]*state, len(targets))
 	p.order = p.order[:0]
+	usual := p.usual()
 	for _, t := range targets {
 		s := p.targets[t.ID]
 		if s == nil {
-			s = newState(t, p.usual())
+			s = newState(t, usual)
 		}
 		if !s.tells {
 			s.Slots = max(t.Slots, 1)
--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -14,8 +14,9 @@
 	kept := p.waiting[:0]
 	deciding := false
 	for rank, t := range p.waiting {
+		usable := p.usable(t, now)
 		if !deciding {
-			g, ok, awaits := p.choose(t, now)
+			g, ok, awaits := p.choose(t, usable, now)
 			if ok {
 				a.Grants = append(a.Grants, g)
 				continue
@@ -23,7 +24,7 @@
 			// Nobody takes what a more urgent request may still choose.
 			deciding = awaits
 		}
-		if r, refused := p.refuse(t, rank-len(a.Grants)-len(a.Refusals), now); refused {
+		if r, refused := p.refuse(t, usable, rank-len(a.Grants)-len(a.Refusals), now); refused {
 			a.Refusals = append(a.Refusals, r)
 			continue
 		}
@@ -66,10 +67,11 @@
 	return due.Add(time.Duration(t.Priority) * priorityStep)
 }
 
-// choose starts a request if there is a target to start it at now. It also reports
-// whether there is one while a better answer is awaited.
-func (p *Placer) choose(t *Ticket, now time.Time) (g Grant, ok, awaits bool) {
-	best, factor := p.best(t, now)
+// choose starts a request at one of the targets that it may be sent to, if there is
+// one to start it at now. It also reports whether there is one while a better
+// answer is awaited.
+func (p *Placer) choose(t *Ticket, usable []*state, now time.Time) (g Grant, ok, awaits bool) {
+	best, factor := p.best(t, usable, now)
 	if best == nil {
 		return Grant{}, false, false
 	}
@@ -79,7 +81,7 @@
 	switch {
 	case !late && ends.After(t.Objective), late && (factor > lateFactor || ends.After(t.Limit)):
 		return Grant{}, false, false
-	case factor > excellent && (p.asking(t, now) || t.tried == 0 && !p.blind):
+	case factor > excellent && (p.asking(usable, now) || t.tried == 0 && !p.blind):
 		return Grant{}, false, true
 	}
 	g = Grant{
@@ -95,15 +97,15 @@
 // best returns the target with a free slot at which a request would end first.
 // Among those that are about equal it draws one of the own zone if there is any;
 // a target that has joined thus gets its share. Without reports all are equal.
-func (p *Placer) best(t *Ticket, now time.Time) (*state, float64) {
+func (p *Placer) best(t *Ticket, usable []*state, now time.Time) (*state, float64) {
 	age := freshness
 	if p.blind {
 		age = stale
 	}
-	deaf := p.deaf(t, now)
+	deaf := p.deaf(t, usable, now)
 	least := math.Inf(1)
 	var free []*state
-	for _, s := range p.usable(t, now) {
+	for _, s := range usable {
 		if (deaf || s.fresh(now, age)) && s.free(now) {
 			free = append(free, s)
 			least = min(least, s.factor(now))
@@ -125,8 +127,8 @@
 
 // deaf reports whether no target has told its load for some time, though a request
 // has asked: the health endpoint is out of order, or the network.
-func (p *Placer) deaf(t *Ticket, now time.Time) bool {
-	return t.tried >= deafRounds && now.Sub(p.heard) > stale && !p.asking(t, now)
+func (p *Placer) deaf(t *Ticket, usable []*state, now time.Time) bool {
+	return t.tried >= deafRounds && now.Sub(p.heard) > stale && !p.asking(usable, now)
 }
 
 // usable returns the targets that a request may be sent to: none that it was sent
@@ -156,10 +158,10 @@
 	return all
 }
 
-// asking reports whether an answer of a target that the request could go to is
+// asking reports whether an answer of one of some targets, or of another zone, is
 // still awaited.
-func (p *Placer) asking(t *Ticket, now time.Time) bool {
-	for _, s := range p.usable(t, now) {
+func (p *Placer) asking(usable []*state, now time.Time) bool {
+	for _, s := range usable {
 		if !s.probe.IsZero() && now.Sub(s.probe) < patience {
 			return true
 		}
@@ -169,15 +171,15 @@
 
 // refuse turns a request away that cannot be served. The rank is the number of
 // requests that start before it.
-func (p *Placer) refuse(t *Ticket, rank int, now time.Time) (Refusal, bool) {
+func (p *Placer) refuse(t *Ticket, usable []*state, rank int, now time.Time) (Refusal, bool) {
 	refusal := func(r Reason, wait time.Duration) (Refusal, bool) {
 		spread := time.Duration((0.75 + 0.5*p.Random()) * float64(wait))
 		return Refusal{Ticket: t, Return: max(spread, returnLeast), Reason: r}, true
 	}
-	if len(p.usable(t, now)) == 0 {
+	if len(usable) == 0 {
 		return refusal(Targetless, targetlessReturn)
 	}
-	if t.Extra && t.tried > 0 && !p.asking(t, now) {
+	if t.Extra && t.tried > 0 && !p.asking(usable, now) {
 		return refusal(Roomless, 0)
 	}
 	wait := p.foresee(rank)
@@ -270,15 +272,15 @@
 			others = append(others, s)
 		}
 	}
-	asked := p.draw(others, max(1, nearFan-len(familiar)))
-	return append(asked, p.draw(familiar, nearFan-len(asked))...)
+	asked := draw(p.Random, others, max(1, nearFan-len(familiar)))
+	return append(asked, draw(p.Random, familiar, nearFan-len(asked))...)
 }
 
 // draw returns up to most random ones.
-func (p *Placer) draw(from []*state, most int) []*state {
+func draw[T any](random func() float64, from []T, most int) []T {
 	n := min(most, len(from))
 	for i := range n {
-		j := i + int(p.Random()*float64(len(from)-i))
+		j := i + int(random()*float64(len(from)-i))
 		from[i], from[j] = from[j], from[i]
 	}
 	return from[:n]
--- a/internal/request/placer/target.go
+++ b/internal/request/placer/target.go
@@ -93,8 +93,6 @@
 	silent int
 	// failures is the moving share of requests that the target failed.
 	failures float64
-	// judged counts the requests behind failures.
-	judged int
 	// failed is when the last request failed.
 	failed time.Time
 	// avoid is until when the target gets no requests; term is how long it was
@@ -167,7 +165,6 @@
 
 // judge counts a request's ending for or against the target.
 func (s *state) judge(bad bool, now time.Time) {
-	s.judged++
 	s.failures *= 1 - failureMemory
 	if !bad {
 		if s.failures < failureMemory {
