--- a/internal/standin/breaker/variants_test.go
+++ b/internal/standin/breaker/variants_test.go
@@ -81,6 +81,12 @@
 	{"TestEachServicePaysItsOwnRetries", "internal/process/forwarder", []Edit{{
 		"internal/process/forwarder/service.go", "	s.retries.Request(now)\n", "	s.retries.Request(now)\n	for _, o := range s.forwarder.services {\n		if o != s {\n			o.retries.Request(now)\n		}\n	}\n",
 	}}},
+	{"TestReaderHandsADocumentToFew", "internal/process/relayer", []Edit{{
+		"internal/process/relayer/vouch.go", "before == nil || before.Stamps == a.Stamps {", "before == nil || true {",
+	}}},
+	{"TestRestartsBringNoAllowance", "internal/request/budgeter", []Edit{{
+		"internal/request/budgeter/retries.go", "		part = startSafety\n", "		part = allowanceSafety\n",
+	}}},
 	{"TestLendsEachSlotOnce", "internal/request/placer", []Edit{{
 		"internal/request/placer/abroad.go", "		s.load.Running++\n", "",
 	}}},
