Wait for a local target before remote zones are covered

Change: a request waits a quarter of its slack for its own zone, unless no target there is usable or it is a hedge.

--- a/internal/request/placer/doc.go
+++ b/internal/request/placer/doc.go
@@ -29,10 +29,13 @@
 // of one target.
 //
 // While requests wait, the placer probes a few local targets in each round of
-// probes. Every second round from localRounds on also covers remote zones, while the
-// first waiting request can still meet its objective. A round covers them at once if
-// that request is a hedge or if fewer than two local targets can be probed. In a
-// remote zone, the placer starts a search: it asks an instance there for targets with
+// probes. The first waiting request waits for a slot in its own zone for a share of its
+// slack (Placer.LocalWait). This answers the load at which the few targets of a zone are
+// busy for a moment: most slots come free within that time, while a request to another
+// zone costs traffic and takes a slot that the other zone needs next. After that time
+// rounds cover remote zones too, every second one, or each one if fewer than two local
+// targets can be probed. A round covers them at once if the request is a hedge or if no
+// local target is usable. In a remote zone, the placer starts a search: it asks an instance there for targets with
 // a free slot, which that instance offers with their load. If no instance there can
 // be asked, the placer probes the targets of the zone itself.
 //
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -32,6 +32,8 @@
 	// localRounds is the number of rounds after which every second round covers remote
 	// zones too. Traffic between zones costs more than a short wait.
 	localRounds = 2
+	// defaultLocalWait is the initial Placer.LocalWait.
+	defaultLocalWait = 0.25
 	// equalRatio is the ratio up to which two slowdowns count as equal, because the
 	// estimates are no more exact than that.
 	equalRatio = 1.15
@@ -76,6 +78,10 @@
 	// AllowProbes grants up to n probes and returns the number granted.
 	AllowProbes func(n int, now time.Time) int
 
+	// LocalWait is the share of its slack for which a request waits for a target of its
+	// own zone before remote zones are covered. The slack is the longest wait after which
+	// the request still meets its objective at a slowdown of 1.
+	LocalWait float64
 	// CanSearch reports whether an instance in a remote zone can be asked for targets
 	// with a free slot. If it is nil or returns false, the placer probes the targets of
 	// the zone itself.
@@ -102,7 +108,7 @@
 // New returns a placer without targets.
 func New(zone string, random func() float64, allowProbes func(n int, now time.Time) int) *Placer {
 	return &Placer{
-		Zone: zone, Random: random, AllowProbes: allowProbes,
+		Zone: zone, Random: random, AllowProbes: allowProbes, LocalWait: defaultLocalWait,
 		targets: map[string]*targetState{}, searches: map[string]time.Time{}, workTimes: map[string]time.Duration{},
 	}
 }
--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -218,9 +218,7 @@
 }
 
 // startRound begins a round of probes if one is due. The round is for the first
-// waiting request, the most urgent one. It covers remote zones in every second round
-// from localRounds on while that request can meet its objective, and at once for a
-// hedge or if fewer than two local targets can be probed.
+// waiting request, the most urgent one.
 func (p *Placer) startRound(a *Actions, now time.Time) {
 	t := p.waiting[0]
 	// Until a round has begun since the request arrived, one is due at once.
@@ -230,8 +228,7 @@
 	}
 	local, remote := p.probeCandidates(t, now)
 	targets := p.drawLocal(local, now)
-	inTime := !now.After(p.latestStart(t))
-	if inTime && t.rounds >= localRounds && t.rounds%2 == 0 || len(targets) < 2 || t.Hedge {
+	if p.coversRemote(t, len(targets), now) {
 		zones, direct := p.planSearch(remote, now)
 		targets = append(targets, direct...)
 		for _, z := range zones {
@@ -247,6 +244,20 @@
 	}
 }
 
+// coversRemote reports whether a round for a request also covers remote zones.
+// localProbes is the number of local targets that the round probes.
+func (p *Placer) coversRemote(t *Ticket, localProbes int, now time.Time) bool {
+	switch {
+	case t.Hedge || !slices.ContainsFunc(p.usable(t, now), p.isLocal):
+		return true
+	case now.Sub(t.Arrived) < time.Duration(p.LocalWait*float64(t.LatencyObjective-p.workTime(t))):
+		return false
+	case localProbes < 2:
+		return true
+	}
+	return t.rounds >= localRounds && t.rounds%2 == 0 && !now.After(p.latestStart(t))
+}
+
 // probe marks as many of the targets as AllowProbes grants as probed and returns
 // them.
 func (p *Placer) probe(targets []*targetState, now time.Time) []Target {
--- a/internal/standin/modeler/strategies.go
+++ b/internal/standin/modeler/strategies.go
@@ -20,6 +20,9 @@
 	{"fresh reports", func(l Workload, seed int64) Result {
 		return simulatePlacer(l, seed, options{probes: true, search: true})
 	}},
+	{"remote zones at once", func(l Workload, seed int64) Result {
+		return simulatePlacer(l, seed, options{probes: true, search: true, noLocalWait: true})
+	}},
 	{"each probes abroad", func(l Workload, seed int64) Result { return simulatePlacer(l, seed, options{probes: true}) }},
 	{"old reports", func(l Workload, seed int64) Result { return simulatePlacer(l, seed, options{}) }},
 	{"two choices", simulateTwoChoices},
@@ -48,6 +51,8 @@
 	// probes lets instances probe targets, search lets them ask instances of other
 	// zones for targets.
 	probes, search bool
+	// noLocalWait covers remote zones without waiting for local targets first.
+	noLocalWait bool
 }
 
 // simulatePlacer places requests with the placer of the balancer.
@@ -62,6 +67,9 @@
 			}
 			return n
 		})
+		if o.noLocalWait {
+			n.placer.LocalWait = 0
+		}
 		n.placer.SetTargets(w.listTargets())
 		instances = append(instances, n)
 	}
--- a/internal/standin/modeler/workloads.go
+++ b/internal/standin/modeler/workloads.go
@@ -22,6 +22,12 @@
 	newWorkload("uneven zones", baseWorkload, func(l *Workload) { l.Rate *= 1.3; l.Skew = 0.4 }),
 	newWorkload("few targets", baseWorkload, func(l *Workload) { l.Targets, l.Rate = 5, 14 }),
 	newWorkload("three slots", baseWorkload, func(l *Workload) { l.Slots, l.Rate = 3, 60 }),
+	// Four zones with two targets each, which are busy for short times while most of all
+	// slots are free.
+	newWorkload("two targets a zone", baseWorkload, func(l *Workload) {
+		l.Zones, l.Instances, l.Targets, l.Slots, l.Rate = 4, 17, 8, 4, 160
+		l.Kinds = []Kind{{Name: "booking", Share: 1, Work: 78 * time.Millisecond, Objective: 250 * time.Millisecond, Timeout: 600 * time.Millisecond, Priority: 1, NonIdempotent: true}}
+	}),
 	newWorkload("steady targets", baseWorkload, func(l *Workload) { l.SlowShare = 0 }),
 }
 
