Ask rarely which incarnations run in other places

Change: questions about other places are asked at a rate that does not grow with the place, in random order, and dropped once they are answered; regular pings to other places are spread over a large place.

--- a/internal/process/detector/detector.go
+++ b/internal/process/detector/detector.go
@@ -18,8 +18,16 @@
 	// failedPingPeriods is the number of periods between pings to failed members.
 	failedPingPeriods = 10
 	// maxCheckPings bounds the pings sent in one period to find out which
-	// incarnation runs at an address.
+	// incarnation runs at an address of this place.
 	maxCheckPings = 2
+	// remoteCheckPeriods times the number of members of this place is the number of
+	// periods between two such pings to other places. When many instances restart, all
+	// members of the other places have the same questions. A place thus asks as often
+	// whatever its size, and its members learn the answers from each other.
+	remoteCheckPeriods = 2
+	// smallPlaceSize is the number of members of a place from which its members ping
+	// other places less often, so that the place as a whole pings them no more often.
+	smallPlaceSize = 16
 	// pausePeriods is the number of periods without a tick after which the instance
 	// assumes that its own process was paused.
 	pausePeriods = 3
@@ -57,6 +65,14 @@
 	requesterSequence uint64
 }
 
+// check is the question which incarnation runs at an address, at which the member was
+// held when the question came up.
+type check struct {
+	member identity
+	state  State
+	remote bool
+}
+
 // Detector holds one instance's view of the fleet. It is not safe for concurrent
 // use.
 type Detector struct {
@@ -80,18 +96,22 @@
 	localRound  round
 	remoteRound round
 	failedRound round
-	// checks queues the addresses to ping to find out which incarnation runs there.
-	checks []netip.AddrPort
+	// checks queues the questions which incarnation runs at an address.
+	checks []check
+	// lastRemoteCheck is the period of the last check of another place.
+	lastRemoteCheck uint64
 
 	updates []update
 	changes []Change
 	digest  uint64
 
-	periods    uint64
-	nextPeriod time.Time
-	lastTick   time.Time
-	lastSync   time.Time
-	lastForget time.Time
+	periods uint64
+	// nextRemotePing is the period of the next ping to another place.
+	nextRemotePing uint64
+	nextPeriod     time.Time
+	lastTick       time.Time
+	lastSync       time.Time
+	lastForget     time.Time
 }
 
 // New returns a detector whose only member is the instance itself.
@@ -108,8 +128,10 @@
 		pending:    map[uint64]*pendingPing{},
 		rules:      rules{supersedes: sentAfterLastSeen, checkIncarnation: (*Detector).checkByPing},
 		nextPeriod: now,
-		lastTick:   now,
-		lastForget: now,
+		// A starting instance learns of other places from its own.
+		nextRemotePing: o.RemotePingPeriods,
+		lastTick:       now,
+		lastForget:     now,
 	}
 	d.sequence = o.Random()
 	d.updateDigest()
--- a/internal/process/detector/detector_test.go
+++ b/internal/process/detector/detector_test.go
@@ -13,6 +13,8 @@
 	"github.com/leanovate/gopter/prop"
 	"github.com/sebdah/goldie/v2"
 
+	"github.com/stretchr/testify/require"
+
 	"oriolecourse.example/oriolecourse/internal/version/lister"
 )
 
@@ -305,3 +307,36 @@
 		t.Errorf("%d members are held, want 2", n)
 	}
 }
+
+// TestMassRestartCausesFewPacketsBetweenPlaces replays the loss of half of all processes,
+// which start again at their addresses. Each instance then doubts the incarnations of
+// half of the members of all places. It guards against instances that each ask all of
+// them, so that the traffic between places grows with the square of the fleet.
+func TestMassRestartCausesFewPacketsBetweenPlaces(t *testing.T) {
+	const size, places = 100, 4
+	f := newFleet(3, "a", "b", "c", "d")
+	f.remotePingPeriods = 60
+	for i := range size {
+		f.start(i)
+	}
+	f.advance(20 * time.Second)
+	for i := range size / 2 {
+		f.kill(2*i + i%2)
+	}
+	f.advance(500 * time.Millisecond)
+	for i := range size / 2 {
+		f.start(2*i + i%2)
+	}
+	f.sent, f.sentRemote = 0, 0
+	f.advance(30 * time.Second)
+	// Nine of ten packets stay within their place.
+	require.Less(t, 10*f.sentRemote, f.sent)
+	// Each instance knows which incarnations of its own place run.
+	for i := range size {
+		for j := i % places; j < size; j += places {
+			member := f.at(j).self.identity()
+			held := slices.ContainsFunc(f.at(i).Members(), func(m Member) bool { return m.identity() == member && m.State == Alive })
+			require.Equal(t, i != j, held, "%d holds %d", i, j)
+		}
+	}
+}
--- a/internal/process/detector/fleet_test.go
+++ b/internal/process/detector/fleet_test.go
@@ -38,6 +38,8 @@
 	step   time.Duration
 	random *rand.Rand
 	places []string
+	// remotePingPeriods replaces the default of the option if it is set.
+	remotePingPeriods uint64
 	// rules replaces the rules of all detectors if it is set.
 	rules *rules
 	// latest holds the latest process at each address; started holds every process.
@@ -49,9 +51,11 @@
 	// delay returns the time that the next packet takes to its receiver.
 	delay func() time.Duration
 	log   strings.Builder
-	// sent counts all packets; sentTo counts the packets to each address.
-	sent   int
-	sentTo map[netip.AddrPort]int
+	// sent counts all packets, sentRemote those to another place; sentTo counts the
+	// packets to each address.
+	sent       int
+	sentRemote int
+	sentTo     map[netip.AddrPort]int
 }
 
 func newFleet(seed int64, places ...string) *fleet {
@@ -94,12 +98,13 @@
 			Instance:    lister.Instance{Address: a, Peer: a, Place: place, Zone: "a", State: lister.Live},
 			Incarnation: f.random.Uint64() | 1,
 		},
-		Seeds:            []netip.AddrPort{addressOf(0), addressOf(1), addressOf(2)},
-		Period:           DefaultPeriod,
-		PingTimeout:      DefaultPingTimeout,
-		SuspicionTimeout: DefaultSuspicionTimeout,
-		ForgetAfter:      DefaultForgetAfter,
-		Random:           f.random.Uint64,
+		Seeds:             []netip.AddrPort{addressOf(0), addressOf(1), addressOf(2)},
+		Period:            DefaultPeriod,
+		PingTimeout:       DefaultPingTimeout,
+		SuspicionTimeout:  DefaultSuspicionTimeout,
+		RemotePingPeriods: f.remotePingPeriods,
+		ForgetAfter:       DefaultForgetAfter,
+		Random:            f.random.Uint64,
 	}, f.now)
 	if f.rules != nil {
 		p.Detector.rules = *f.rules
@@ -130,6 +135,9 @@
 	for _, o := range packets {
 		f.sent++
 		f.sentTo[o.To]++
+		if len(f.places) > 0 && indexOf(o.To)%len(f.places) != indexOf(p.self.Instance.Peer)%len(f.places) {
+			f.sentRemote++
+		}
 		f.inFlight = append(f.inFlight, inFlightPacket{at: f.now.Add(f.delay()), outgoing: o})
 	}
 	for _, c := range p.Changes() {
--- a/internal/process/detector/receive.go
+++ b/internal/process/detector/receive.go
@@ -113,10 +113,25 @@
 
 // scheduleCheck schedules a ping to find out which incarnation runs at an address.
 func (d *Detector) scheduleCheck(address netip.AddrPort) {
-	for _, a := range d.checks {
-		if a == address {
+	c := check{member: identity{peer: address}}
+	if r := d.records[address]; r != nil {
+		c = check{member: r.member.identity(), state: r.member.State, remote: r.member.Instance.Place != d.self.Instance.Place}
+	}
+	for i := range d.checks {
+		if d.checks[i].member.peer == address {
+			d.checks[i] = c
 			return
 		}
 	}
-	d.checks = append(d.checks, address)
+	d.checks = append(d.checks, c)
+}
+
+// isOpen reports whether a question is still open: the member that it is about is held
+// as before.
+func (d *Detector) isOpen(c check) bool {
+	r := d.records[c.member.peer]
+	if r == nil {
+		return c.member.incarnation == 0
+	}
+	return r.member.identity() == c.member && r.member.State == c.state
 }
--- a/internal/process/detector/round.go
+++ b/internal/process/detector/round.go
@@ -76,8 +76,8 @@
 }
 
 // nextRoundMember returns the member to ping in this period: one of the instance's own
-// place, or every RemotePingPeriods periods one of another place. When the own place
-// has no other member, it is always one of another place.
+// place, or every RemotePingPeriods periods one of another place, more rarely in a large
+// place. When the own place has no other member, it is always one of another place.
 func (d *Detector) nextRoundMember() (netip.AddrPort, bool) {
 	local := func(r *record) bool {
 		return r.member.State <= Suspect && r.member.Instance.Place == d.self.Instance.Place
@@ -85,7 +85,9 @@
 	remote := func(r *record) bool {
 		return r.member.State <= Suspect && r.member.Instance.Place != d.self.Instance.Place
 	}
-	if d.periods%d.options.RemotePingPeriods == 0 {
+	if d.periods >= d.nextRemotePing {
+		interval := float64(d.options.RemotePingPeriods) * max(1, float64(d.localMembers())/smallPlaceSize)
+		d.nextRemotePing = d.periods + uint64(interval)
 		if a, found := d.nextInRound(&d.remoteRound, remote); found {
 			return a, true
 		}
@@ -96,10 +98,43 @@
 	return d.nextInRound(&d.remoteRound, remote)
 }
 
-// takeChecks removes and returns up to maxCheckPings addresses to check.
+// takeChecks removes and returns the addresses to check in this period: up to
+// maxCheckPings of this place, and at times one of another place. It drops the questions
+// that another member has answered.
 func (d *Detector) takeChecks() []netip.AddrPort {
-	n := min(maxCheckPings, len(d.checks))
-	taken := d.checks[:n]
-	d.checks = slices.Clone(d.checks[n:])
+	d.checks = slices.DeleteFunc(d.checks, func(c check) bool { return !d.isOpen(c) })
+	var taken []netip.AddrPort
+	var remote []int
+	kept := d.checks[:0]
+	for _, c := range d.checks {
+		if !c.remote && len(taken) < maxCheckPings {
+			taken = append(taken, c.member.peer)
+			continue
+		}
+		if c.remote {
+			remote = append(remote, len(kept))
+		}
+		kept = append(kept, c)
+	}
+	d.checks = kept
+	interval := uint64(remoteCheckPeriods * d.localMembers())
+	if len(remote) > 0 && d.periods-d.lastRemoteCheck > interval {
+		// A random one, so that the members of this place ask different questions.
+		at := remote[d.options.Random()%uint64(len(remote))]
+		taken = append(taken, d.checks[at].member.peer)
+		d.checks = slices.Delete(d.checks, at, at+1)
+		d.lastRemoteCheck = d.periods
+	}
 	return taken
 }
+
+// localMembers returns the number of alive and suspect members of this place.
+func (d *Detector) localMembers() int {
+	n := 0
+	for _, r := range d.records {
+		if r.member.State <= Suspect && r.member.Instance.Place == d.self.Instance.Place {
+			n++
+		}
+	}
+	return n
+}
