Take turns to read the platform when confirmations are missing

Change: the instances after the sixth take turns in random order, so that a large zone calls as often as a small one. The first six are as fast as before.

--- a/internal/process/syncer/schedule.go
+++ b/internal/process/syncer/schedule.go
@@ -17,10 +17,18 @@
 	confirmationTimeout = LongPollWait + 300*time.Millisecond
 	// rankDelay is added to confirmationTimeout for each predecessor in the order.
 	rankDelay = 120 * time.Millisecond
-	// maxRankDelay bounds the rank delay of an instance. Targets drain for two seconds,
-	// and a new reader must start within that time: confirmationTimeout and
-	// maxRankDelay add up to 1.9 s.
+	// maxRankDelay bounds the rank delay of the first smallZoneSize instances in the
+	// order. Targets drain for two seconds, and a new reader must start within that time:
+	// confirmationTimeout and maxRankDelay add up to 1.9 s.
 	maxRankDelay = 600 * time.Millisecond
+	// turnInterval is the mean time between the starts of the instances that come after
+	// the first smallZoneSize in the order. All of them miss the same confirmations, and
+	// together they must call a platform that does not answer no more often than a small
+	// zone does.
+	turnInterval = maxBackoff / smallZoneSize
+	// maxConfirmationAge is the age after which a confirmation is forgotten. The last turn
+	// in a zone of 1,000 instances comes earlier.
+	maxConfirmationAge = 2 * time.Minute
 	// minBackoff and maxBackoff bound the delay after a failed call in a small zone. The
 	// delay doubles with each further failure. Jitter then changes it by up to a
 	// quarter.
@@ -43,6 +51,9 @@
 	// Random returns a number in [0, 1).
 	Random func() float64
 
+	// turn is this instance's place among the instances that take turns after the first
+	// smallZoneSize, in [0, 1).
+	turn float64
 	// firstRead is when the first successful read ended; zero before that.
 	firstRead time.Time
 	// confirmedAt holds the time of the last confirmation of each peer.
@@ -70,7 +81,7 @@
 	}
 	var newest time.Time
 	for peer, at := range s.confirmedAt {
-		if now.Sub(at) > confirmationTimeout+maxRankDelay {
+		if now.Sub(at) > maxConfirmationAge {
 			delete(s.confirmedAt, peer)
 			continue
 		}
@@ -86,10 +97,23 @@
 	if newest.IsZero() {
 		return true, now
 	}
-	start := newest.Add(confirmationTimeout + min(time.Duration(len(predecessors))*rankDelay, maxRankDelay))
+	start := newest.Add(confirmationTimeout + s.rankDelay(len(predecessors)))
 	return !now.Before(start), start
 }
 
+// rankDelay returns how much longer than confirmationTimeout an instance waits for a
+// confirmation before it reads. An instance after the first smallZoneSize waits for a
+// random turn. The later it is in the order, the later its turn can be.
+func (s *Schedule) rankDelay(predecessors int) time.Duration {
+	if predecessors < smallZoneSize {
+		return min(time.Duration(predecessors)*rankDelay, maxRankDelay)
+	}
+	if s.turn == 0 {
+		s.turn = s.Random()
+	}
+	return maxRankDelay + time.Duration(s.turn*float64(predecessors-smallZoneSize+1)*float64(turnInterval))
+}
+
 // RecordResult records how a call ended. Instances is the number of live instances
 // of the zone.
 func (s *Schedule) RecordResult(failed bool, instances int, now time.Time) {
--- a/internal/process/syncer/syncer_test.go
+++ b/internal/process/syncer/syncer_test.go
@@ -173,6 +173,32 @@
 	}
 }
 
+// The platform pauses for two seconds, so that all instances of a zone miss the
+// confirmations of its reader. A large zone that then calls at once would bring hundreds
+// of calls down on a platform in trouble. Within the pause and the second after it, a
+// zone of any size may make as many calls as a small zone, one for each turn.
+func TestPauseOfThePlatformCausesFewCalls(t *testing.T) {
+	for _, n := range []int{6, 94, 300} {
+		s := newSimulation(n, rand.New(rand.NewSource(1)))
+		start := time.Unix(100, 0)
+		pause, back := start.Add(5*time.Second), start.Add(7*time.Second)
+		before := 0
+		for now := start; now.Before(back.Add(time.Second)); now = now.Add(10 * time.Millisecond) {
+			for i := range s.cutOff {
+				s.cutOff[i] = !now.Before(pause) && now.Before(back)
+			}
+			if now.Equal(pause) {
+				before = s.calls
+			}
+			s.step(now)
+		}
+		// Each of the first smallZoneSize instances makes up to four calls, each later one
+		// two from its turn on.
+		require.LessOrEqual(t, s.calls-before, 4*smallZoneSize+2*int(3*time.Second/turnInterval), "%d instances", n)
+		require.Less(t, back.Add(time.Second).Sub(s.currentAsOf[n-1]), 2*time.Second, "%d instances", n)
+	}
+}
+
 // When hundreds of targets start one after the other, each call would return only one
 // change. The calls must be spaced out to a few per second, and a single change must
 // still be read at once.
