Read the store to the end of a slow listing, and only list at a first start

Cause: 472 instances that start at once share the store's link. At the first start an instance only lists; the reader of its zone confirms or replaces the copy within two seconds.

--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -62,6 +62,9 @@
 type Source struct {
 	// Refresh reads all data again.
 	Refresh func(ctx context.Context) error
+	// List reads all data as it was some seconds ago at most, for a fraction of the cost
+	// of Refresh.
+	List func(ctx context.Context) error
 	// Await waits for changes and reads them. It returns after the wait if there are
 	// none.
 	Await func(ctx context.Context, wait time.Duration) error
@@ -83,6 +86,9 @@
 	Budget  forwarder.Budget
 	// Grace is the time from the signal to stop until the process is killed.
 	Grace time.Duration
+	// FirstStart means that the whole installation starts for the first time and has no
+	// clients yet.
+	FirstStart bool
 	// MemoryBytes is the memory that the process may use, in bytes. MaxFiles is the
 	// greatest number of file descriptors.
 	MemoryBytes int64
@@ -155,7 +161,7 @@
 	})
 	source := o.NewSource(Sink{OfferTable: i.offerTable, OfferList: i.offerList})
 	i.syncer = &syncer.Syncer{
-		Refresh: source.Refresh, Await: source.Await,
+		Refresh: source.Refresh, List: source.List, Await: source.Await, FirstStart: o.FirstStart,
 		Predecessors: i.predecessors, InstanceCount: i.zoneInstances, Confirm: func(time.Time) { i.relayer.ConfirmDocuments() }, Logger: o.Logger,
 	}
 	i.syncer.Prepare()
--- a/internal/process/syncer/syncer.go
+++ b/internal/process/syncer/syncer.go
@@ -14,6 +14,9 @@
 const (
 	// callTimeout is the time that a call may take in addition to LongPollWait.
 	callTimeout = 800 * time.Millisecond
+	// refreshTimeout is the time that reading all data may take. After a power failure all
+	// instances read at once and share the platform's link.
+	refreshTimeout = 5 * time.Second
 	// minCallInterval and maxCallInterval bound the time from the start of a call that
 	// returned changes at once to the next call. Changes come in series when targets
 	// start or are replaced, so the interval doubles while they do. Both bounds are
@@ -35,6 +38,13 @@
 type Syncer struct {
 	// Refresh reads all data.
 	Refresh func(ctx context.Context) error
+	// List reads all data as it was some seconds ago at most, for a fraction of the cost
+	// of Refresh.
+	List func(ctx context.Context) error
+	// FirstStart means that the whole installation starts for the first time. Its
+	// instances all read at once, before there are clients. A listing is enough for them:
+	// within two seconds the reader of the zone confirms it or replaces it.
+	FirstStart bool
 	// Await waits for changes since the last read and applies them. Without changes it
 	// returns after the wait.
 	Await func(ctx context.Context, wait time.Duration) error
@@ -179,11 +189,19 @@
 	return changed
 }
 
-// call reads everything if complete is set, and waits for changes otherwise.
+// call reads everything if complete is set, and waits for changes otherwise. The first
+// call of an installation only lists.
 func (s *Syncer) call(complete bool) error {
-	ctx, cancel := context.WithTimeout(s.ctx, LongPollWait+callTimeout)
-	defer cancel()
+	timeout := LongPollWait + callTimeout
 	if complete {
+		timeout = refreshTimeout
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, timeout)
+	defer cancel()
+	switch {
+	case complete && s.FirstStart && s.lastRead.IsZero():
+		return s.List(ctx)
+	case complete:
 		return s.Refresh(ctx)
 	}
 	return s.Await(ctx, LongPollWait)
--- a/internal/process/syncer/syncer_test.go
+++ b/internal/process/syncer/syncer_test.go
@@ -255,3 +255,27 @@
 	// callTimeout/4 stands for the duration of a call that returns at once.
 	require.Less(t, joinDelay+callTimeout/4, confirmationTimeout+maxRankDelay, "the pause after the first read must not leave a copy older than a missing confirmation would")
 }
+
+// Hundreds of instances that start for the first time would each pay for a complete read.
+// Their first call must be a listing, any later call must bring the copy up to date.
+func TestFirstStartOnlyLists(t *testing.T) {
+	for firstStart, want := range map[bool][]string{true: {"list", "await", "refresh"}, false: {"refresh", "await", "refresh"}} {
+		var calls []string
+		call := func(name string) func(context.Context) error {
+			return func(context.Context) error { calls = append(calls, name); return nil }
+		}
+		s := &Syncer{
+			FirstStart: firstStart, Refresh: call("refresh"), List: call("list"),
+			Await:         func(context.Context, time.Duration) error { calls = append(calls, "await"); return nil },
+			InstanceCount: func() int { return 1 },
+			Confirm:       func(time.Time) {},
+			Logger:        log.NewNopLogger(),
+		}
+		s.Prepare()
+		now := time.Now()
+		s.readOnce(now)
+		s.readOnce(now.Add(joinDelay))
+		s.readOnce(now.Add(joinDelay + 2*maxIncrementalAge))
+		require.Equal(t, want, calls, "first start: %t", firstStart)
+	}
+}
