Keep retries for urgent requests, and use shares of the budget below one

And an instance of 472 has a share of 0.7 attempts besides those that its requests earn, which was rounded down to none. Change: half of a service's retries is kept for requests more urgent than the asking one, while there are some. Each instance rounds its share by a random number, so that the shares add up over the fleet. TestUrgentRequestsGetTheirRetries replays such a load; TestSharesBelowOneAddUp a fleet of 472; the property of the budget in each window holds with the rounding. Clients of shed requests now return as the placer says.

--- a/internal/process/forwarder/execution.go
+++ b/internal/process/forwarder/execution.go
@@ -27,10 +27,9 @@
 	// minHedgeDelay is the least time before a request is hedged, since the time of
 	// work varies even at a healthy target.
 	minHedgeDelay = 150 * time.Millisecond
-	// shedRetryAfter is the time after which a client may retry if no target ran the
-	// request and the placer gave no time: all tried targets shed the request, or the
-	// placer did not decide by the deadline.
-	shedRetryAfter = 150 * time.Millisecond
+	// undecidedRetryAfter is the time after which a client may retry if the placer did not
+	// decide by the deadline.
+	undecidedRetryAfter = 150 * time.Millisecond
 )
 
 // result describes a finished attempt. response is nil unless a complete response
@@ -205,7 +204,7 @@
 	case r.effect != sender.NotExecuted && !e.route.Idempotent:
 		return false
 	}
-	return e.service.takeRetry(now)
+	return e.service.takeRetry(e.route.Priority, now)
 }
 
 // startHedge reports the current target as slow, so that other requests avoid it,
@@ -216,7 +215,7 @@
 		return
 	}
 	e.service.reportSlow(e.current, now)
-	if !e.route.Idempotent || e.sent >= e.route.MaxAttempts || !e.service.takeRetry(now) {
+	if !e.route.Idempotent || e.sent >= e.route.MaxAttempts || !e.service.takeRetry(e.route.Priority, now) {
 		return
 	}
 	_ = level.Info(e.logger).Log("msg", "second try", "service", e.service.name, "after", now.Sub(e.Arrived))
@@ -272,7 +271,7 @@
 		return &acceptor.Response{Status: http.StatusGatewayTimeout}, clientLeft
 	}
 	if e.running == 0 && !e.mayHaveRun {
-		return e.forwarder.rejection(shedRetryAfter), rejected
+		return e.forwarder.rejection(undecidedRetryAfter), rejected
 	}
 	return &acceptor.Response{Status: http.StatusGatewayTimeout}, timedOut
 }
@@ -306,7 +305,7 @@
 	case e.rejection != nil:
 		return e.forwarder.rejection(e.rejection.RetryAfter), rejected
 	}
-	return e.forwarder.rejection(shedRetryAfter), rejected
+	return e.forwarder.rejection(e.service.retryAfterShed(time.Now())), rejected
 }
 
 // clientResponse returns the response of a target in the form for the client.
--- a/internal/process/forwarder/forwarder_test.go
+++ b/internal/process/forwarder/forwarder_test.go
@@ -20,15 +20,15 @@
 	healthy, shedding := f.service("healthy"), f.service("shedding")
 	now, requests, attempts := time.Unix(1000, 0), 0, 0
 	// The instance gets its full share of the allowance once a window has passed.
-	require.True(t, healthy.takeRetry(now) && shedding.takeRetry(now))
+	require.True(t, healthy.takeRetry(1, now) && shedding.takeRetry(1, now))
 	now = now.Add(20 * time.Second)
 	for range 8000 {
 		now = now.Add(time.Millisecond)
-		healthy.countRequest(now)
+		healthy.countRequest(1, now)
 		if now.UnixMilli()%10 == 0 {
-			shedding.countRequest(now)
+			shedding.countRequest(1, now)
 			requests++
-			for shedding.takeRetry(now) {
+			for shedding.takeRetry(1, now) {
 				attempts++
 			}
 		}
@@ -41,6 +41,6 @@
 
 	f.SetBudget(Budget{})
 	now = now.Add(time.Minute)
-	shedding.countRequest(now)
-	require.False(t, shedding.takeRetry(now), "a retry was granted under an empty budget")
+	shedding.countRequest(1, now)
+	require.False(t, shedding.takeRetry(1, now), "a retry was granted under an empty budget")
 }
--- a/internal/process/forwarder/request.go
+++ b/internal/process/forwarder/request.go
@@ -97,7 +97,7 @@
 		service:  f.service(f.splitter.Pick(route)),
 		deadline: now.Add(min(timeout, route.Timeout)), logger: logger,
 	}
-	r.service.countRequest(now)
+	r.service.countRequest(route.Priority, now)
 	r.fingerprint = quarantiner.Sum("", r.service.name, route.Name, q.Method, q.RequestURI, q.Body)
 	response, o := r.admit(ctx)
 	return f.finish(logger, r.service.name, o, now, response)
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -23,6 +23,8 @@
 	// connectionShare is the share of a target's connections that the known instances
 	// use together. Instances that are not known here may use the rest.
 	connectionShare = 0.7
+	// mostUrgent is the priority of the most urgent requests.
+	mostUrgent = 0
 	// never is the initial duration of a timer that is set later.
 	never = 24 * time.Hour
 	// minConnections is the number of connections to a target that an instance may
@@ -57,7 +59,7 @@
 
 func newService(f *Forwarder, name string) *service {
 	s := &service{forwarder: f, name: name, waiting: map[*placer.Ticket]chan decision{}}
-	s.retries.Window = f.budget.Load().RetryWindow
+	s.retries.Window, s.retries.Rounding = f.budget.Load().RetryWindow, rand.Float64()
 	s.placer = placer.New(f.options.Zone, rand.Float64, s.allowProbes)
 	s.placer.CanSearch = f.options.CanSearch
 	s.timer = time.AfterFunc(never, s.onTimer)
@@ -77,20 +79,20 @@
 }
 
 // countRequest counts a client request, which raises the retry budget.
-func (s *service) countRequest(now time.Time) {
+func (s *service) countRequest(priority int, now time.Time) {
 	s.retryMutex.Lock()
 	defer s.retryMutex.Unlock()
-	s.retries.RecordRequest(now)
+	s.retries.RecordRequest(priority, now)
 }
 
-// takeRetry takes one retry from the service's budget and reports whether there
-// was one.
-func (s *service) takeRetry(now time.Time) bool {
+// takeRetry takes one retry for a request of a priority from the service's budget and
+// reports whether there was one.
+func (s *service) takeRetry(priority int, now time.Time) bool {
 	s.retryMutex.Lock()
 	defer s.retryMutex.Unlock()
 	b := s.forwarder.budget.Load()
 	s.retries.Ratio, s.retries.Allowance = b.RetryRatio, b.RetryAllowance
-	return s.retries.Take(now, s.forwarder.options.InstanceCount())
+	return s.retries.Take(priority, now, s.forwarder.options.InstanceCount())
 }
 
 func (s *service) stats(now time.Time) Stats {
@@ -99,7 +101,7 @@
 	s.mutex.Unlock()
 	s.retryMutex.Lock()
 	defer s.retryMutex.Unlock()
-	return Stats{Service: s.name, Waiting: waiting, Retries: s.retries.Remaining(now, s.forwarder.options.InstanceCount())}
+	return Stats{Service: s.name, Waiting: waiting, Retries: s.retries.Remaining(mostUrgent, now, s.forwarder.options.InstanceCount())}
 }
 
 func (s *service) setTargets(usable []registrar.UsableRun, now time.Time) {
@@ -187,6 +189,14 @@
 	s.step(now)
 }
 
+// retryAfterShed returns when a client may retry whose request all tried targets have
+// shed.
+func (s *service) retryAfterShed(now time.Time) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.placer.RetryAfterShed(now)
+}
+
 // reportSlow tells the placer that a request at a target takes much longer than
 // expected.
 func (s *service) reportSlow(g *placer.Grant, now time.Time) {
--- a/internal/request/budgeter/budgeter_test.go
+++ b/internal/request/budgeter/budgeter_test.go
@@ -32,7 +32,7 @@
 	start := time.Unix(0, 0)
 	fleet := make([]*Retries, members)
 	for i := range fleet {
-		fleet[i] = &Retries{Ratio: ratio, Allowance: allowance, Window: window}
+		fleet[i] = &Retries{Ratio: ratio, Allowance: allowance, Window: window, Rounding: random.Float64()}
 	}
 	var events []event
 	now := start
@@ -40,9 +40,9 @@
 		now = now.Add(time.Duration(random.ExpFloat64() * float64(5*time.Millisecond)))
 		i := random.Intn(members)
 		if random.Intn(4000) == 0 {
-			fleet[i] = &Retries{Ratio: ratio, Allowance: allowance, Window: window}
+			fleet[i] = &Retries{Ratio: ratio, Allowance: allowance, Window: window, Rounding: random.Float64()}
 		}
-		fleet[i].RecordRequest(now)
+		fleet[i].RecordRequest(1, now)
 		events = append(events, event{at: now})
 		for random.Intn(3) > 0 && take(fleet[i], now, members-random.Intn(1+members/4)) {
 			events = append(events, event{at: now, attempt: true})
@@ -83,7 +83,7 @@
 	parameters.MinSuccessfulTests = 30
 	properties := gopter.NewProperties(parameters)
 	properties.Property("budget", prop.ForAll(func(seed int64, members int) bool {
-		return withinBudget(simulateFleet(seed, members, (*Retries).Take))
+		return withinBudget(simulateFleet(seed, members, func(r *Retries, now time.Time, fleet int) bool { return r.Take(1, now, fleet) }))
 	}, gen.Int64(), gen.IntRange(1, 40)))
 	properties.TestingRun(t)
 }
@@ -91,7 +91,7 @@
 // Guards against a check that accepts any budget: instances that each use the
 // whole budget must exceed it.
 func TestRetriesCheckRejectsUnsharedBudget(t *testing.T) {
-	unshared := func(r *Retries, now time.Time, _ int) bool { return r.Take(now, 1) }
+	unshared := func(r *Retries, now time.Time, _ int) bool { return r.Take(1, now, 1) }
 	require.False(t, withinBudget(simulateFleet(1, 16, unshared)))
 }
 
@@ -100,17 +100,17 @@
 func TestRetriesGrantAFewWithoutRequests(t *testing.T) {
 	r := &Retries{Ratio: ratio, Allowance: allowance, Window: window}
 	now := time.Unix(5, 0)
-	require.Equal(t, int(math.Floor(startSafetyFactor*allowance/4)), r.Remaining(now, 4), "the previous process may have used the share")
+	require.Equal(t, int(math.Floor(startSafetyFactor*allowance/4)), r.Remaining(1, now, 4), "the previous process may have used the share")
 	now = now.Add(window)
 	granted := 0
 	for range 100 {
-		if r.Take(now, 4) {
+		if r.Take(1, now, 4) {
 			granted++
 		}
 	}
 	require.Equal(t, int(math.Floor(allowanceSafetyFactor*allowance/4)), granted)
-	require.False(t, r.Take(now.Add(window), 4))
-	require.True(t, r.Take(now.Add(window+time.Second), 4))
+	require.False(t, r.Take(1, now.Add(window), 4))
+	require.True(t, r.Take(1, now.Add(window+time.Second), 4))
 }
 
 // Guards against an instance that sends more probes than its share of the fleet's
@@ -136,9 +136,9 @@
 	var events []event
 	simulate := func(r *Retries, length time.Duration) {
 		for end := now.Add(length); now.Before(end); now = now.Add(10 * time.Millisecond) {
-			r.RecordRequest(now)
+			r.RecordRequest(1, now)
 			events = append(events, event{at: now})
-			for r.Take(now, 1) {
+			for r.Take(1, now, 1) {
 				events = append(events, event{at: now, attempt: true})
 			}
 		}
@@ -150,3 +150,63 @@
 	}
 	require.True(t, withinBudget(events))
 }
+
+// Replays targets that reject 55% of all requests. The budget lasts for a third of the
+// retries that they cause. Guards against less urgent requests that use it up: the more
+// urgent ones, an eighth of all, must get all the retries that they ask for.
+func TestUrgentRequestsGetTheirRetries(t *testing.T) {
+	random := rand.New(rand.NewSource(1))
+	r := &Retries{Ratio: ratio, Allowance: allowance, Window: window}
+	now := time.Unix(5, 0)
+	asked, granted := map[int]int{}, map[int]int{}
+	for range 30000 {
+		now = now.Add(time.Millisecond)
+		priority := 2
+		if random.Float64() < 0.12 {
+			priority = 1
+		}
+		r.RecordRequest(priority, now)
+		if random.Float64() >= 0.55 {
+			continue
+		}
+		taken := r.Take(priority, now, 1)
+		if now.Sub(r.start) < window {
+			continue
+		}
+		asked[priority]++
+		if taken {
+			granted[priority]++
+		}
+	}
+	require.Equal(t, asked[1], granted[1])
+	require.Greater(t, granted[2], asked[2]/10)
+}
+
+// Guards against an instance that keeps retries for urgent requests that do not come.
+func TestRetriesAreNotKeptForNobody(t *testing.T) {
+	r := &Retries{Ratio: ratio, Allowance: allowance, Window: window}
+	now := time.Unix(5, 0)
+	r.RecordRequest(1, now)
+	now = now.Add(2 * window)
+	granted := 0
+	for r.Take(2, now, 1) {
+		granted++
+	}
+	require.Equal(t, int(allowanceSafetyFactor*allowance), granted)
+}
+
+// Replays a fleet of 472 instances, each of which has a share of less than one attempt.
+// Guards against rounding that loses most of the fleet's budget, and that exceeds it.
+func TestSharesBelowOneAddUp(t *testing.T) {
+	const fleet = 472
+	random := rand.New(rand.NewSource(1))
+	granted := 0
+	for range fleet {
+		r := &Retries{Ratio: ratio, Allowance: 630, Window: window, Rounding: random.Float64()}
+		r.Take(1, time.Unix(5, 0), fleet)
+		for now := time.Unix(5, 0).Add(3 * window); r.Take(1, now, fleet); {
+			granted++
+		}
+	}
+	require.InEpsilon(t, allowanceSafetyFactor*630, granted, 0.1)
+}
--- a/internal/request/budgeter/retries.go
+++ b/internal/request/budgeter/retries.go
@@ -18,11 +18,16 @@
 	// With it, the previous process's share and five starts within a window stay
 	// within the allowance.
 	startSafetyFactor = 0.1
+	// urgentShare is the fraction of the attempts that is kept for the more urgent
+	// requests while there are some.
+	urgentShare = 0.5
 )
 
 // Retries grants attempts beyond the first for the requests of one service. In any
 // window it grants at most Ratio times the window's requests plus this instance's
-// share of the fleet's allowance.
+// share of the fleet's allowance. While requests of several priorities arrive, it keeps
+// urgentShare of these attempts for the more urgent ones: when all targets reject a part
+// of their requests, the budget does not last for all.
 type Retries struct {
 	// Ratio is the maximum number of additional attempts per request.
 	Ratio float64
@@ -31,38 +36,71 @@
 	Allowance float64
 	// Window is the length of the sliding window.
 	Window time.Duration
+	// Rounding is added before the number of attempts is rounded down; it is in [0, 1).
+	// Among hundreds of instances the share of each is a few attempts, and the fractions
+	// are a large part of the budget. Each instance draws its Rounding at random, so that
+	// the fractions add up over the fleet.
+	Rounding float64
 
-	start    time.Time
-	requests bucketCounts
-	attempts bucketCounts
+	start time.Time
+	// usage holds the requests and attempts of each priority.
+	usage map[int]*usage
 }
 
-// RecordRequest counts one client request.
-func (r *Retries) RecordRequest(now time.Time) { r.requests.add(r.bucket(now), 1) }
+// usage counts the requests of one priority and the attempts granted to them.
+type usage struct{ requests, attempts bucketCounts }
 
-// Take takes one additional attempt from the budget and reports whether there was
-// one. fleet is the number of instances that share the allowance.
-func (r *Retries) Take(now time.Time, fleet int) bool {
-	if r.Remaining(now, fleet) < 1 {
+func (r *Retries) usageOf(priority int) *usage {
+	u := r.usage[priority]
+	if u == nil {
+		u = &usage{}
+		if r.usage == nil {
+			r.usage = map[int]*usage{}
+		}
+		r.usage[priority] = u
+	}
+	return u
+}
+
+// RecordRequest counts one client request of a priority; 0 is the most urgent.
+func (r *Retries) RecordRequest(priority int, now time.Time) {
+	r.usageOf(priority).requests.add(r.bucket(now), 1)
+}
+
+// Take takes one additional attempt for a request of a priority from the budget and
+// reports whether there was one. fleet is the number of instances that share the
+// allowance.
+func (r *Retries) Take(priority int, now time.Time, fleet int) bool {
+	if r.Remaining(priority, now, fleet) < 1 {
 		return false
 	}
-	r.attempts.add(r.bucket(now), 1)
+	r.usageOf(priority).attempts.add(r.bucket(now), 1)
 	return true
 }
 
-// Remaining returns the number of additional attempts that Take would grant now.
-func (r *Retries) Remaining(now time.Time, fleet int) int {
+// Remaining returns the number of additional attempts that Take would grant now to
+// requests of a priority.
+func (r *Retries) Remaining(priority int, now time.Time, fleet int) int {
 	bucket := r.bucket(now)
-	// The window begins inside the oldest bucket. Count all attempts of that bucket,
-	// and none of its requests, which may be older than the window.
-	used := r.attempts.sum(bucket, windowBuckets+1)
-	earned := r.requests.sum(bucket, windowBuckets)
+	requests, used, urgentRequests, urgentUsed := 0.0, 0.0, 0.0, 0.0
+	for p, u := range r.usage {
+		// The window begins inside the oldest bucket. Count all attempts of that bucket,
+		// and none of its requests, which may be older than the window.
+		q, a := u.requests.sum(bucket, windowBuckets), u.attempts.sum(bucket, windowBuckets+1)
+		requests, used = requests+q, used+a
+		if p < priority {
+			urgentRequests, urgentUsed = urgentRequests+q, urgentUsed+a
+		}
+	}
 	factor := allowanceSafetyFactor
 	if now.Sub(r.start) < r.Window {
 		factor = startSafetyFactor
 	}
-	limit := ratioSafetyFactor*r.Ratio*earned + factor*r.Allowance/float64(max(fleet, 1))
-	return max(int(limit-used), 0)
+	limit := ratioSafetyFactor*r.Ratio*requests + factor*r.Allowance/float64(max(fleet, 1))
+	if urgentRequests > 0 {
+		limit -= max(urgentShare*limit-urgentUsed, 0)
+	}
+	return max(int(limit-used+r.Rounding), 0)
 }
 
 // bucket returns the number of the bucket of a time, counted from the first call.
