Push rumors of lost requests together

Cause: under overload targets reset the requests that they have no room for. Each lost request made a rumor, and each rumor some 1,900 messages among 472 instances of 0.16 cores. Change: losses and clearances are pushed together, five times a second at most. A loss reaches all instances within a second, before its request comes back. TestManyLossesCauseFewMessages replays 300 losses on 12 instances; with a push for each it counts thousands of messages where a few hundred are allowed.

--- a/internal/process/relayer/relayer.go
+++ b/internal/process/relayer/relayer.go
@@ -91,6 +91,7 @@
 	endpoint  framer.Endpoint
 	pool      *pool
 	rumors    *rumors
+	gathered  gatheredRumors
 	transfers *transfers
 	metrics   *metrics
 	started   time.Time
--- a/internal/process/relayer/rumor.go
+++ b/internal/process/relayer/rumor.go
@@ -45,14 +45,18 @@
 	ttl time.Duration
 	// urgent rumors are pushed at each hop. Others are only sent with pings.
 	urgent bool
+	// gathered rumors are pushed together, at most once per gatherInterval. Under
+	// overload, targets lose hundreds of requests in a second, and a message for each loss
+	// at each hop would use up the processors of the whole fleet.
+	gathered bool
 }{
 	// An instance that was paused for minutes must still learn which runs are draining.
-	Draining:  {"draining", 10 * time.Minute, true},
-	Loss:      {"loss", time.Minute, true},
-	Load:      {"load", LoadTTL, false},
-	Cleared:   {"cleared", time.Minute, true},
-	Outage:    {"outage", 30 * time.Second, false},
-	Successor: {"heir", 10 * time.Minute, true},
+	Draining:  {name: "draining", ttl: 10 * time.Minute, urgent: true},
+	Loss:      {name: "loss", ttl: time.Minute, urgent: true, gathered: true},
+	Load:      {name: "load", ttl: LoadTTL},
+	Cleared:   {name: "cleared", ttl: time.Minute, urgent: true, gathered: true},
+	Outage:    {name: "outage", ttl: 30 * time.Second},
+	Successor: {name: "heir", ttl: 10 * time.Minute, urgent: true},
 }
 
 // LoadTTL is how long a Load rumor is valid. The instance spreads its load again
--- a/internal/process/relayer/spread.go
+++ b/internal/process/relayer/spread.go
@@ -135,7 +135,7 @@
 	}
 }
 
-// receiveRumors adds rumors of a peer, pushes the new urgent ones to other members
+// receiveRumors adds rumors of a peer, passes the new urgent ones on to other members
 // and calls Options.OnRumor for each new one.
 func (r *Relayer) receiveRumors(incoming []Rumor, now time.Time) {
 	var fresh []Rumor
@@ -152,18 +152,78 @@
 	}
 }
 
+// gatherInterval is the time between two pushes of gathered rumors. A request that has
+// crashed a target comes back after a second or more; within that time the rumor of its
+// loss takes the four or five hops to all instances.
+const gatherInterval = 200 * time.Millisecond
+
+// gatheredRumors holds the rumors that wait for the next push.
+type gatheredRumors struct {
+	mutex sync.Mutex
+	// own holds the rumors that originate here, passedOn those of other instances.
+	own, passedOn []Rumor
+	// scheduled means that a push is due within gatherInterval.
+	scheduled bool
+}
+
+// pushRumors pushes the urgent rumors to other members, the gathered ones after
+// gatherInterval at most.
 func (r *Relayer) pushRumors(fresh []Rumor, origin bool) {
-	places := map[string][]Rumor{}
+	var now, later []Rumor
 	for _, rumor := range fresh {
-		if topics[rumor.Topic].urgent {
-			places[rumor.Place] = append(places[rumor.Place], rumor)
+		switch {
+		case !topics[rumor.Topic].urgent:
+		case topics[rumor.Topic].gathered:
+			later = append(later, rumor)
+		default:
+			now = append(now, rumor)
 		}
 	}
-	for place, urgent := range places {
+	r.sendRumors(now, origin)
+	if len(later) > 0 {
+		r.gatherRumors(later, origin)
+	}
+}
+
+// gatherRumors keeps rumors for the next push and schedules it.
+func (r *Relayer) gatherRumors(fresh []Rumor, origin bool) {
+	g := &r.gathered
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if origin {
+		g.own = append(g.own, fresh...)
+	} else {
+		g.passedOn = append(g.passedOn, fresh...)
+	}
+	if !g.scheduled {
+		g.scheduled = r.spawn(func() {
+			r.sleep(gatherInterval)
+			r.pushGathered()
+		})
+	}
+}
+
+func (r *Relayer) pushGathered() {
+	g := &r.gathered
+	g.mutex.Lock()
+	own, passedOn := g.own, g.passedOn
+	g.own, g.passedOn, g.scheduled = nil, nil, false
+	g.mutex.Unlock()
+	r.sendRumors(own, true)
+	r.sendRumors(passedOn, false)
+}
+
+// sendRumors sends rumors to some members of their places, or of the whole fleet.
+func (r *Relayer) sendRumors(all []Rumor, origin bool) {
+	places := map[string][]Rumor{}
+	for _, rumor := range all {
+		places[rumor.Place] = append(places[rumor.Place], rumor)
+	}
+	for place, group := range places {
 		if place == "" {
-			r.sendTo(rumorReceivers(r.Members(), r.options.Self.Place, origin), kindRumors, urgent)
+			r.sendTo(rumorReceivers(r.Members(), r.options.Self.Place, origin), kindRumors, group)
 		} else {
-			r.pushToPlace(place, kindRumors, urgent)
+			r.pushToPlace(place, kindRumors, group)
 		}
 	}
 }
--- a/internal/process/relayer/spread_test.go
+++ b/internal/process/relayer/spread_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -61,3 +62,34 @@
 		require.Greater(t, remote, 2*remoteFanout, "pushes to all places stay within the bound, so this test detects no flood")
 	}
 }
+
+// Replays an overload in which the targets reset hundreds of requests, each of which makes
+// a rumor. Guards against a message for each rumor at each hop, which used up the
+// processors of a fleet of 472 small instances: the number of messages must depend on the
+// time that passes and not on the number of rumors, and each instance must learn of all.
+func TestManyLossesCauseFewMessages(t *testing.T) {
+	const size, losses = 12, 300
+	nodes := startFleet(t, size, testPeriod)
+	messages := func() (n uint64) {
+		for _, node := range nodes {
+			for _, t := range node.Traffic() {
+				if t.Kind == kindNames[kindRumors] {
+					n += t.MessagesSent
+				}
+			}
+		}
+		return n
+	}
+	began := time.Now()
+	for i := range losses {
+		nodes[i%size].Spread(Rumor{Topic: Loss, Service: "parts", Fingerprint: uint64(i)}, time.Now())
+	}
+	for i, n := range nodes {
+		eventually(t, "each instance to learn of all losses", func() bool { return len(n.rumors()) == losses-losses/size })
+		require.Len(t, n.rumors(), losses-losses/size, "instance %d", i)
+	}
+	// Each instance pushes its own rumors and those of others to fanout members each time.
+	pushes := uint64(time.Since(began)/gatherInterval) + 2
+	require.LessOrEqual(t, messages(), pushes*size*2*fanout)
+	require.Less(t, messages(), uint64(losses*size))
+}
