Do not start requests by old reports while probes are used up

Cause: in a burst an instance uses its probes up within a second. Change: while probes are denied, a request waits for a newer report for as long as the last one was old on its arrival.

--- a/internal/process/journaler/lines.go
+++ b/internal/process/journaler/lines.go
@@ -39,7 +39,7 @@
 	{"platform lost", "Calls to the platform start to fail.", []string{"err"}},
 	{"platform back", "Calls to the platform succeed again.", nil},
 	{"reader changed", "The instance starts or stops reading from the platform for its zone.", []string{"reading"}},
-	{"member changed", "The instance's view of another instance has changed.", []string{"peer", "incarnation", "state", "before", "leaving", "new"}},
+	{"member changed", "The instance's view of another instance of its zone has changed.", []string{"peer", "incarnation", "state", "before", "leaving", "new"}},
 	{"rumor ignored", "A peer sent a rumor with a topic that is not used on a platform.", []string{"topic"}},
 
 	{"placed", "A target was chosen for an attempt of a request.", []string{"request", "service", "target", "address", "waited", "expected", "age", "busy", "late", "abroad", "attempt", "version"}},
--- a/internal/process/relayer/run.go
+++ b/internal/process/relayer/run.go
@@ -139,8 +139,9 @@
 	}
 }
 
-// publishChanges updates the membership view, logs the changes and calls
-// Options.OnMembersChange. It does nothing without changes.
+// publishChanges updates the membership view, counts the changes, logs those of this
+// place and calls Options.OnMembersChange. It does nothing without changes. In a fleet of
+// hundreds, a line for each member of each place would hide all other lines.
 func (r *Relayer) publishChanges(changes []detector.Change) {
 	if len(changes) == 0 {
 		return
@@ -149,6 +150,9 @@
 	r.view.Store(&members)
 	for _, c := range changes {
 		r.metrics.countChange(c.Member.State)
+		if c.Member.Instance.Place != r.options.Self.Place {
+			continue
+		}
 		level.Info(r.options.Logger).Log("msg", "member changed", "peer", c.Member.Instance.Peer,
 			"incarnation", c.Member.Incarnation, "state", c.Member.State, "before", c.Before,
 			"leaving", c.Member.Leaving, "new", c.New)
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -11,7 +11,10 @@
 	// speed of targets changes about every 100 ms.
 	freshReportAge = 6 * time.Millisecond
 	// staleReportAge is the age above which a report is ignored. While probes are
-	// denied, reports up to this age are used to choose a target.
+	// denied, a request uses reports up to this age, once it has waited for as long as the
+	// report was old on its arrival. In a burst of some seconds the probes are used up, and old reports
+	// show slots that other instances have taken since: targets then reset requests, whose
+	// outcome is unknown.
 	staleReportAge = 500 * time.Millisecond
 	// noReportRounds is the number of rounds of probes, without any report for
 	// staleReportAge, after which a target is chosen by this instance's own request
--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -105,7 +105,9 @@
 func (p *Placer) bestTarget(t *Ticket, usable []*targetState, now time.Time) (*targetState, float64) {
 	age := freshReportAge
 	if p.probesDenied {
-		age = staleReportAge
+		// The request waits for a newer report for as long as this one was old on its
+		// arrival.
+		age = min(max(2*now.Sub(t.Arrived), freshReportAge), staleReportAge)
 	}
 	noReports := p.noReports(t, usable, now)
 	least := math.Inf(1)
