Tell the fleet once that a target was replaced

For each rumor, an instance set the targets of all services anew. Change: a rumor that a run drains has the same identifier wherever it originates, is pushed together with others, and changes the targets only when the run was not known to leave. TestDrainingIsPassedOnOnce failed before.

--- a/internal/process/composer/peers.go
+++ b/internal/process/composer/peers.go
@@ -60,8 +60,9 @@
 // targetReplaced marks a run as leaving because another target responded at its
 // address, and tells the other instances.
 func (i *Instance) targetReplaced(key string, now time.Time) {
-	i.registrar.MarkLeaving(key, "another target responded at its address", now)
-	i.updateTargets(now)
+	if i.registrar.MarkLeaving(key, "another target responded at its address", now) {
+		i.updateTargets(now)
+	}
 	i.relayer.Spread(relayer.Rumor{Topic: relayer.Draining, Start: key}, now)
 }
 
@@ -69,8 +70,9 @@
 func (i *Instance) receiveRumor(r relayer.Rumor, now time.Time) {
 	switch r.Topic {
 	case relayer.Draining:
-		i.registrar.MarkLeaving(r.Start, "a peer reported that it is leaving", now)
-		i.updateTargets(now)
+		if i.registrar.MarkLeaving(r.Start, "a peer reported that it is leaving", now) {
+			i.updateTargets(now)
+		}
 	case relayer.Loss, relayer.Cleared:
 		i.forwarder.ReceiveRumor(quarantiner.Rumor{
 			Service:     quarantiner.Service{Service: r.Service},
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -130,16 +130,18 @@
 }
 
 // MarkLeaving records that a run accepts no new requests, as the run itself or a peer
-// has reported. Cause is the reason for the logs.
-func (r *Registrar) MarkLeaving(key, cause string, now time.Time) {
+// has reported. Cause is the reason for the logs. It reports whether the run is listed
+// and was not known to leave.
+func (r *Registrar) MarkLeaving(key, cause string, now time.Time) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	e := r.entries[key]
 	if e == nil || !e.leavingSince.IsZero() {
-		return
+		return false
 	}
 	e.leavingSince = now
 	r.setState(e, Leaving, cause)
+	return true
 }
 
 func (r *Registrar) setState(e *entry, s State, cause string) {
--- a/internal/process/relayer/rumor.go
+++ b/internal/process/relayer/rumor.go
@@ -46,12 +46,12 @@
 	// urgent rumors are pushed at each hop. Others are only sent with pings.
 	urgent bool
 	// gathered rumors are pushed together, at most once per gatherInterval. Under
-	// overload, targets lose hundreds of requests in a second, and a message for each loss
-	// at each hop would use up the processors of the whole fleet.
+	// overload, targets lose hundreds of requests in a second, or hundreds of targets are
+	// replaced. A message for each at each hop would use up the processors of the fleet.
 	gathered bool
 }{
 	// An instance that was paused for minutes must still learn which runs are draining.
-	Draining:  {name: "draining", ttl: 10 * time.Minute, urgent: true},
+	Draining:  {name: "draining", ttl: 10 * time.Minute, urgent: true, gathered: true},
 	Loss:      {name: "loss", ttl: time.Minute, urgent: true, gathered: true},
 	Load:      {name: "load", ttl: LoadTTL},
 	Cleared:   {name: "cleared", ttl: time.Minute, urgent: true, gathered: true},
--- a/internal/process/relayer/spread.go
+++ b/internal/process/relayer/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"math/bits"
 	"math/rand/v2"
 	"slices"
@@ -127,6 +128,9 @@
 // Spread originates a rumor. This instance's own Options.OnRumor is not called.
 func (r *Relayer) Spread(rumor Rumor, now time.Time) {
 	rumor.ID = rand.Uint64()
+	if rumor.Topic == Draining {
+		rumor.ID = drainingID(rumor)
+	}
 	if rumor.TTL == 0 {
 		rumor.TTL = topics[rumor.Topic].ttl
 	}
@@ -135,6 +139,15 @@
 	}
 }
 
+// drainingID returns the ID of a rumor that a run is draining. It is the same at all
+// instances, many of which notice it at the same time: the fleet passes one rumor on and
+// not one of each of them.
+func drainingID(r Rumor) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(r.Place + "\x00" + r.Service + "\x00" + r.Target.String() + "\x00" + r.Start))
+	return h.Sum64()
+}
+
 // receiveRumors adds rumors of a peer, passes the new urgent ones on to other members
 // and calls Options.OnRumor for each new one.
 func (r *Relayer) receiveRumors(incoming []Rumor, now time.Time) {
--- a/internal/process/relayer/spread_test.go
+++ b/internal/process/relayer/spread_test.go
@@ -63,6 +63,25 @@
 	}
 }
 
+// Replays the replacement of a target that all instances notice at once. Guards against a
+// rumor of each instance, each of which all others would pass on.
+func TestDrainingIsPassedOnOnce(t *testing.T) {
+	const size = 8
+	nodes := startFleet(t, size, testPeriod)
+	for _, n := range nodes {
+		n.Spread(Rumor{Topic: Draining, Start: "i-1/1700000000000"}, time.Now())
+		n.Spread(Rumor{Topic: Draining, Start: "i-2/1700000000000"}, time.Now())
+	}
+	time.Sleep(5 * gatherInterval)
+	for _, n := range nodes {
+		require.Empty(t, n.rumors(), "an instance must not be told what it has said")
+	}
+	nodes[0].Spread(Rumor{Topic: Draining, Start: "i-3/1700000000000"}, time.Now())
+	for _, n := range nodes[1:] {
+		eventually(t, "each instance to learn of the third run", func() bool { return len(n.rumors()) == 1 })
+	}
+}
+
 // Replays an overload in which the targets reset hundreds of requests, each of which makes
 // a rumor. Guards against a message for each rumor at each hop, which used up the
 // processors of a fleet of 472 small instances: the number of messages must depend on the
