--- a/internal/standin/mutator/variants_test.go
+++ b/internal/standin/mutator/variants_test.go
@@ -80,7 +80,7 @@
 		"internal/connection/framer/conn.go", "	return trace.Wrap(halfCloser.CloseWrite())\n", "	_ = halfCloser\n	return trace.Wrap(c.socket.Close())\n",
 	}}},
 	{"TestRetryBudgetsArePerService", "internal/process/forwarder", []Edit{{
-		"internal/process/forwarder/service.go", "	s.retries.RecordRequest(priority, now)\n", "	s.retries.RecordRequest(now)\n	for _, o := range s.forwarder.services {\n		if o != s {\n			o.retries.RecordRequest(priority, now)\n		}\n	}\n",
+		"internal/process/forwarder/service.go", "	s.retries.RecordRequest(priority, now)\n", "	s.retries.RecordRequest(priority, now)\n	for _, o := range s.forwarder.services {\n		if o != s {\n			o.retries.RecordRequest(priority, now)\n		}\n	}\n",
 	}}},
 	{"TestReaderSendsADocumentToFewMembers", "internal/process/relayer", []Edit{{
 		"internal/process/relayer/confirm.go", "before == nil || before.Stamps == a.Stamps {", "before == nil || true {",
