--- a/internal/process/syncer/schedule.go
+++ b/internal/process/syncer/schedule.go
@@ -97,14 +97,14 @@
 	if newest.IsZero() {
 		return true, now
 	}
-	start := newest.Add(confirmationTimeout + s.rankDelay(len(predecessors)))
+	start := newest.Add(confirmationTimeout + s.startDelay(len(predecessors)))
 	return !now.Before(start), start
 }
 
-// rankDelay returns how much longer than confirmationTimeout an instance waits for a
+// startDelay returns how much longer than confirmationTimeout an instance waits for a
 // confirmation before it reads. An instance after the first smallZoneSize waits for a
 // random turn. The later it is in the order, the later its turn can be.
-func (s *Schedule) rankDelay(predecessors int) time.Duration {
+func (s *Schedule) startDelay(predecessors int) time.Duration {
 	if predecessors < smallZoneSize {
 		return min(time.Duration(predecessors)*rankDelay, maxRankDelay)
 	}
