--- a/internal/request/budgeter/doc.go
+++ b/internal/request/budgeter/doc.go
@@ -4,4 +4,7 @@
 // Each instance uses a fixed share of the fleet's budget. The fleet therefore
 // stays within its budget without exchanging any message, also while it is
 // partitioned or its instances restart.
+//
+// When all targets of a service reject a part of their requests, the budget of retries
+// does not last for all; a part of it is kept for the more urgent requests.
 package budgeter
--- a/internal/request/placer/doc.go
+++ b/internal/request/placer/doc.go
@@ -35,9 +35,14 @@
 // zone costs traffic and takes a slot that the other zone needs next. After that time
 // rounds cover remote zones too, every second one, or each one if fewer than two local
 // targets can be probed. A round covers them at once if the request is a hedge or if no
-// local target is usable. In a remote zone, the placer starts a search: it asks an instance there for targets with
-// a free slot, which that instance offers with their load. If no instance there can
-// be asked, the placer probes the targets of the zone itself.
+// local target is usable. In a remote zone, the placer starts a search: it asks an
+// instance there for targets with a free slot, which that instance offers with their
+// load. If no instance there can be asked, the placer probes the targets of the zone
+// itself.
+//
+// In a burst, the probes that an instance may send are used up within a second. Requests
+// then wait for a newer report rather than start by an old one, whose slot another
+// instance has taken since.
 //
 // Requests that can still meet their objective start before requests that cannot, and
 // a request that cannot end before its deadline is rejected at once.
