--- a/internal/request/placer/remote.go
+++ b/internal/request/placer/remote.go
@@ -57,7 +57,7 @@
 	if len(p.waiting) > 0 {
 		return nil
 	}
-	local, _ := p.probeCandidates(p.usable(&Ticket{}, now), now)
+	local, _ := p.probeCandidates(&Ticket{}, now)
 	return p.probe(p.drawLocal(local, false, now), now)
 }
 
--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -244,10 +244,9 @@
 	if roundBegan && now.Sub(p.lastRound) < probeInterval {
 		return
 	}
-	usable := p.usable(t, now)
-	local, remote := p.probeCandidates(usable, now)
+	local, remote := p.probeCandidates(t, now)
 	targets := p.drawLocal(local, t.rounds == 0, now)
-	if p.coversRemote(t, usable, len(targets), now) {
+	if p.coversRemote(t, len(targets), now) {
 		zones, direct := p.planSearch(remote, now)
 		targets = append(targets, direct...)
 		for _, z := range zones {
@@ -265,9 +264,9 @@
 
 // coversRemote reports whether a round for a request also covers remote zones.
 // localProbes is the number of local targets that the round probes.
-func (p *Placer) coversRemote(t *Ticket, usable []*targetState, localProbes int, now time.Time) bool {
+func (p *Placer) coversRemote(t *Ticket, localProbes int, now time.Time) bool {
 	switch {
-	case t.Hedge || !slices.ContainsFunc(usable, p.isLocal):
+	case t.Hedge || !slices.ContainsFunc(p.usable(t, now), p.isLocal):
 		return true
 	case now.Sub(t.Arrived) < time.Duration(p.LocalWait*float64(t.LatencyObjective-p.workTime(t))):
 		return false
@@ -288,11 +287,11 @@
 	return probed
 }
 
-// probeCandidates returns those of the usable local and remote targets that may have a free slot,
+// probeCandidates returns the local and the remote targets that may have a free slot,
 // that have no outstanding probe and that are not known to answer probes without
 // reporting load.
-func (p *Placer) probeCandidates(usable []*targetState, now time.Time) (local, remote []*targetState) {
-	for _, s := range usable {
+func (p *Placer) probeCandidates(t *Ticket, now time.Time) (local, remote []*targetState) {
+	for _, s := range p.usable(t, now) {
 		switch {
 		case s.answeredWithoutLoad || len(s.running) >= s.Slots || !s.probeSent.IsZero() && now.Sub(s.probeSent) < probeTimeout:
 		case s.fresh(now, freshReportAge) && !s.hasFreeSlot(now):
