Log and count the limits that targets name

Cause: a target names in its responses how many requests per second it takes from all instances. Neither a log line nor a metric showed that, nor whether the excess at such a target consists of requests or of probes. Change: the adapter decodes the field, the limiter keeps it per run. The line "limit changed" has the target and the limit before and after; limited_answers counts the responses that name one, by request and probe. No decision uses it yet.

--- a/internal/process/forwarder/counters.go
+++ b/internal/process/forwarder/counters.go
@@ -50,6 +50,12 @@
 	c.scope.Tagged(map[string]string{"service": service, "effect": effect}).Counter("attempts").Inc(1)
 }
 
+// countLimited counts a response of a target that names a limit, by the purpose of the
+// message that it answers.
+func (c *counters) countLimited(service, purpose string) {
+	c.scope.Tagged(map[string]string{"service": service, "purpose": purpose}).Counter("limited_answers").Inc(1)
+}
+
 // countRejection counts a rejection by the placer, by its reason.
 func (c *counters) countRejection(service, reason string) {
 	c.scope.Tagged(map[string]string{"service": service, "reason": reason}).Counter("refusals").Inc(1)
--- a/internal/process/forwarder/execution.go
+++ b/internal/process/forwarder/execution.go
@@ -239,6 +239,9 @@
 			load = &l
 		}
 		f.quarantiner.RecordResponse(run, r.sent, now)
+		if r.response.Status != http.StatusMisdirectedRequest {
+			e.service.observeLimit(r.grant.Target, r.response, forRequest, now)
+		}
 	}
 	switch {
 	case r.effect == sender.NotExecuted:
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 
 	"oriolecourse.example/oriolecourse/internal/connection/exchanger"
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
+	"oriolecourse.example/oriolecourse/internal/process/limiter"
 	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
 	"oriolecourse.example/oriolecourse/internal/process/registrar"
 	"oriolecourse.example/oriolecourse/internal/request/placer"
@@ -41,6 +42,10 @@
 	TargetName func(h http.Header) string
 	// Load returns the load that a response reports, and whether it reports one.
 	Load func(h http.Header) (placer.Load, bool)
+	// Limit returns the requests per second that a target takes from all instances
+	// together, as its response names them. It is limiter.Unlimited if the response names
+	// no limit.
+	Limit func(h http.Header) float64
 }
 
 // Budget bounds the load that the whole fleet adds to the requests of clients.
@@ -91,6 +96,7 @@
 	exchanger   *exchanger.Exchanger
 	quarantiner *quarantiner.Table
 	splitter    *router.Splitter
+	limiter     *limiter.Limiter
 	counters    counters
 
 	budget atomic.Pointer[Budget]
@@ -106,6 +112,7 @@
 		exchanger:   exchanger.New(),
 		quarantiner: quarantiner.New(quarantiner.DefaultLimits),
 		splitter:    router.NewSplitter(rand.IntN),
+		limiter:     limiter.New(),
 		counters:    newCounters(o.Scope),
 		services:    map[string]*service{},
 	}
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -241,6 +241,7 @@
 			f.options.OnTargetReplaced(t.ID, now)
 			return
 		}
+		s.observeLimit(t, response, forProbe, now)
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/process/journaler/lines.go
+++ b/internal/process/journaler/lines.go
@@ -51,6 +51,7 @@
 	{"malformed request", "A request has no identifier, or its deadline is not a valid number of milliseconds.", []string{"request", "host", "path", "err"}},
 	{"request ended", "The response for the client is ready, or the client has left.", []string{"request", "service", "outcome", "status", "took"}},
 	{"client failed", "A client connection ended with a protocol error.", []string{"client", "status", "err"}},
+	{"limit changed", "A target names another limit on the requests per second that it takes from all instances, or none any more.", []string{"service", "target", "address", "limit", "before"}},
 	{"probe failed", "A target did not answer a probe, or answered with a status other than 200.", []string{"service", "target", "address", "status", "err"}},
 	{"zone silent", "An instance in a remote zone did not answer a request for targets with free slots.", []string{"zone", "peer", "err"}},
 	{"lines omitted", "Lines of one kind were omitted in the last second.", []string{"kind", "count"}},
@@ -84,7 +85,8 @@
 	{"outcome", "answered (response with a status below 500), failed (response with a status of 500 or above), refused (rejected; no target has executed the request), unknown (no complete response; a target may have executed the request), timed_out (no response in time; a target may have executed the request), client_left, no_route, malformed, not_ready (no configuration yet), quarantined (the request was held back)"},
 	{"status", "HTTP status; 0 without a response"},
 	{"took", "time from the arrival of the request, or from the start of the attempt, to the end"},
-	{"state, before", "state after the change and state before it"},
+	{"state, before", "state after the change and state before it; before is also the limit before the change"},
+	{"limit", "requests per second that the target takes from all instances together; +Inf without a limit"},
 	{"cause", "who reported it, or what caused it"},
 	{"err", "the error"},
 }
--- a/internal/process/meter/metrics.go
+++ b/internal/process/meter/metrics.go
@@ -30,6 +30,7 @@
 	{"probes", nil, "Probes that were sent to ask targets for their load."},
 	{"probes_withheld", nil, "Probes that were not sent because this instance's share of the probe budget was used up."},
 	{"probes_failed", nil, "Probes that got no answer, or one with a status other than 200."},
+	{"limited_answers", []string{"service", "purpose"}, "Responses of targets that name a limit on the requests that they take, by the purpose of the message that they answer, `request` or `probe`. The target counts both."},
 	{"searches_abroad", nil, "Searches for free slots in a remote zone, by asking an instance there."},
 	{"targets_lent", nil, "Targets with free slots that were offered to remote zones."},
 	{"target_connections_opened", nil, "Connections opened to targets. If it grows as fast as the number of attempts, targets close the connection after each response."},
