Keep the messages of the fleet to a target within the limit that it names

Callers saw no error by it, but a target in need got 12 messages in 4 s where its limit allowed 11, and 16 where it allowed 15, although all instances had been told. Nothing decoded the field, so a limited target got its usual part of the requests from every instance. Class: a bound of the whole fleet that no instance may use by itself, as those on retries and probes. Those are shared out in fixed parts, which does not work here: the part of one of 472 instances is a message in minutes, and saved parts add up to a burst. Change: the responses decide (package limiter). One instance of the target's zone, the owner, counts the messages of all, and every instance asks it for a permit right before it sends, so that waiting requests, retries and hedges count. Limited targets are not probed or offered to other zones, and get requests if no other target has room. If the limits allow none in time, a request is rejected at once with the time at which they do. Instances that do not see each other grant the part of the limit that they are of the fleet. Changes of a limit spread as rumors and with the permits. TestFleetKeepsTheLimitOfATarget holds at 16, 98 and 472 instances that stop, start and lose sight of each other; with the whole limit for each part of the fleet it fails.

--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -148,7 +148,9 @@
 	i.forwarder = forwarder.New(forwarder.Options{
 		Dialect: o.Dialect, Zone: o.Zone, Budget: o.Budget,
 		Table: i.tables.Current, InstanceCount: func() int { return int(i.instanceCount.Load()) },
-		SpreadRumor: i.spreadRumor, OnTargetReplaced: i.targetReplaced, CanSearch: i.canSearch, Search: i.search, Logger: o.Logger, Scope: o.Scope,
+		SpreadRumor: i.spreadRumor, OnTargetReplaced: i.targetReplaced, CanSearch: i.canSearch, Search: i.search,
+		LimitOwner: i.limitOwner, AskPermit: i.askPermit, SpreadLimit: i.spreadLimit,
+		Logger: o.Logger, Scope: o.Scope,
 	})
 	i.relayer = relayer.New(relayer.Options{
 		// An incarnation is never zero.
@@ -157,6 +159,7 @@
 		Documents: i.document, OfferDocument: i.offerDocument, OnRumor: i.receiveRumor, OnConfirmation: i.recordConfirmation,
 		DocumentsCurrent: i.documentsCurrent, OnMembersChange: i.membersChanged,
 		OfferTargets: i.offerTargets,
+		Permit:       i.grantPermit,
 		Logger:       o.Logger, Scope: o.Scope,
 	})
 	source := o.NewSource(Sink{OfferTable: i.offerTable, OfferList: i.offerList})
--- a/internal/process/composer/gauges.go
+++ b/internal/process/composer/gauges.go
@@ -25,6 +25,7 @@
 	set(s, "client_connections", i.acceptor.OpenConnections())
 	set(s, "client_requests", i.acceptor.PendingRequests())
 	set(s, "target_connections", i.forwarder.Connections())
+	set(s, "targets_limited", i.forwarder.LimitedTargets())
 	if t := i.tables.Current(); t != nil {
 		s.Gauge("settings_version").Update(float64(t.Version))
 	}
--- a/internal/process/composer/peers.go
+++ b/internal/process/composer/peers.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"oriolecourse.example/oriolecourse/internal/process/detector"
+	"oriolecourse.example/oriolecourse/internal/process/limiter"
 	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
 	"oriolecourse.example/oriolecourse/internal/process/relayer"
 	"oriolecourse.example/oriolecourse/internal/request/placer"
@@ -73,6 +74,8 @@
 		if i.registrar.MarkLeaving(r.Start, "a peer reported that it is leaving", now) {
 			i.updateTargets(now)
 		}
+	case relayer.Limit:
+		i.forwarder.ReceiveLimit(r.Service, r.Start, limiter.Fact{Rate: r.Rate, Age: r.Age()}, now)
 	case relayer.Loss, relayer.Cleared:
 		i.forwarder.ReceiveRumor(quarantiner.Rumor{
 			Service:     quarantiner.Service{Service: r.Service},
--- a/internal/process/forwarder/counters.go
+++ b/internal/process/forwarder/counters.go
@@ -56,6 +56,15 @@
 	c.scope.Tagged(map[string]string{"service": service, "purpose": purpose}).Counter("limited_answers").Inc(1)
 }
 
+// countPermit counts a request for a permit to send to a limited target.
+func (c *counters) countPermit(service string, granted bool) {
+	result := "withheld"
+	if granted {
+		result = "granted"
+	}
+	c.scope.Tagged(map[string]string{"service": service, "result": result}).Counter("permits").Inc(1)
+}
+
 // countRejection counts a rejection by the placer, by its reason.
 func (c *counters) countRejection(service, reason string) {
 	c.scope.Tagged(map[string]string{"service": service, "reason": reason}).Counter("refusals").Inc(1)
--- a/internal/process/forwarder/execution.go
+++ b/internal/process/forwarder/execution.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -35,8 +36,11 @@
 // result describes a finished attempt. response is nil unless a complete response
 // arrived.
 type result struct {
-	grant    *placer.Grant
-	sent     time.Time
+	grant *placer.Grant
+	sent  time.Time
+	// withheld is the time until the target takes a further request, if the request was
+	// not sent because of its limit.
+	withheld time.Duration
 	response *sender.Response
 	effect   sender.Effect
 	err      error
@@ -144,6 +148,10 @@
 	e.hedgeTimer.Reset(max(time.Duration(hedgeSlowdown*float64(g.Expected)), minHedgeDelay))
 	q := e.outgoing(g, now)
 	go func() {
+		if wait := e.service.permit(e.ctx, g.Target); wait > 0 {
+			e.results <- result{grant: g, sent: now, withheld: wait}
+			return
+		}
 		response, effect, err := e.forwarder.exchanger.Send(e.ctx, g.Target.Address, q)
 		e.results <- result{grant: g, sent: now, response: response, effect: effect, err: err}
 	}()
@@ -165,6 +173,10 @@
 // client, or nil if there is none yet; then it may have started a retry.
 func (e *execution) handleResult(r result) *acceptor.Response {
 	now := time.Now()
+	if r.withheld > 0 {
+		e.handleWithheld(r, now)
+		return nil
+	}
 	e.recordResult(r, now)
 	e.forwarder.counters.countAttempt(e.service.name, effectNames[r.effect])
 	status := 0
@@ -193,6 +205,17 @@
 	return nil
 }
 
+// handleWithheld handles an attempt that was not sent because of the target's limit. The
+// request goes back to the placer, unless it is a hedge whose original still runs.
+func (e *execution) handleWithheld(r result, now time.Time) {
+	e.sent--
+	e.tried = slices.DeleteFunc(e.tried, func(id string) bool { return id == r.grant.Target.ID })
+	e.service.withhold(r.grant, r.withheld, now)
+	if e.running+e.placing == 0 && now.Before(e.deadline) {
+		e.place(false)
+	}
+}
+
 // takeRetry reports whether the request may be sent to another target after an
 // attempt. It takes the retry from the budget unless the attempt was not sent.
 func (e *execution) takeRetry(r result, now time.Time) bool {
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -80,6 +80,13 @@
 	// OnTargetReplaced is called when a target with another name responds at the
 	// address of a run. The key identifies the run.
 	OnTargetReplaced func(key string, now time.Time)
+	// LimitOwner returns the owner of a run in a zone and whether it is this instance. The
+	// owner counts the messages of all instances to the run if the run names a limit.
+	LimitOwner func(key, zone string) (o limiter.Owner, own bool)
+	// AskPermit asks the owner of a run in a zone whether a message may be sent to it.
+	AskPermit func(ctx context.Context, owner netip.AddrPort, key, zone string, known limiter.Fact) (limiter.Permit, error)
+	// SpreadLimit tells the other instances the limit that a run of a target names.
+	SpreadLimit func(service, key string, rate float64, now time.Time)
 	// CanSearch reports whether an instance in a remote zone can be asked for
 	// targets with free slots.
 	CanSearch func(zone string, now time.Time) bool
@@ -136,6 +143,13 @@
 	for name := range names {
 		f.service(name).setTargets(usable[name], now)
 	}
+	listed := map[string]bool{}
+	for _, runs := range usable {
+		for i := range runs {
+			listed[runs[i].Key()] = true
+		}
+	}
+	f.limiter.Retain(func(key string) bool { return listed[key] }, now)
 }
 
 // ReceiveRumor applies the rumor of a peer that a target did not complete its response
@@ -170,15 +184,21 @@
 
 // Stats describes all services.
 func (f *Forwarder) Stats(now time.Time) []Stats {
-	f.mutex.Lock()
-	services := slices.Collect(maps.Values(f.services))
-	f.mutex.Unlock()
 	var all []Stats
-	for _, s := range services {
+	for _, s := range f.allServices() {
 		all = append(all, s.stats(now))
 	}
 	return all
 }
 
+func (f *Forwarder) allServices() []*service {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.Collect(maps.Values(f.services))
+}
+
+// LimitedTargets returns the number of runs that name a limit.
+func (f *Forwarder) LimitedTargets() int { return f.limiter.Count() }
+
 // Connections returns the number of open connections to targets.
 func (f *Forwarder) Connections() int { return f.exchanger.OpenConnections() }
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -11,6 +11,7 @@
 
 	"oriolecourse.example/oriolecourse/internal/connection/exchanger"
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
+	"oriolecourse.example/oriolecourse/internal/process/limiter"
 	"oriolecourse.example/oriolecourse/internal/process/registrar"
 	"oriolecourse.example/oriolecourse/internal/request/budgeter"
 	"oriolecourse.example/oriolecourse/internal/request/placer"
@@ -62,6 +63,7 @@
 	s.retries.Window, s.retries.Rounding = f.budget.Load().RetryWindow, rand.Float64()
 	s.placer = placer.New(f.options.Zone, rand.Float64, s.allowProbes)
 	s.placer.CanSearch = f.options.CanSearch
+	s.placer.NeedsRecheck = s.needsRecheck
 	s.timer = time.AfterFunc(never, s.onTimer)
 	return s
 }
@@ -109,6 +111,7 @@
 	for _, u := range usable {
 		targets = append(targets, placer.Target{
 			ID: u.Key(), Name: u.Name, Address: u.Address, Zone: u.Zone, Slots: u.Slots, WarmupEnd: u.WarmupEnd,
+			Limited: s.forwarder.limiter.Rate(u.Key()) != limiter.Unlimited,
 		})
 	}
 	s.mutex.Lock()
@@ -189,6 +192,15 @@
 	s.step(now)
 }
 
+// withhold tells the placer that a granted request was not sent, because its target takes
+// no further request for some time.
+func (s *service) withhold(g *placer.Grant, wait time.Duration, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.placer.Withhold(g.Target.ID, g.Ticket, now.Add(wait))
+	s.step(now)
+}
+
 // retryAfterShed returns when a client may retry whose request all tried targets have
 // shed.
 func (s *service) retryAfterShed(now time.Time) time.Duration {
--- a/internal/process/meter/metrics.go
+++ b/internal/process/meter/metrics.go
@@ -21,7 +21,7 @@
 var Metrics = []Metric{
 	{"requests", []string{"service", "outcome"}, "Requests by outcome. Many `refused`: too little free capacity. Many `unknown`: targets close connections before the response is complete. `not_ready`: the instance has no configuration yet."},
 	{"attempts", []string{"service", "effect"}, "Attempts by effect. `done`: the response is complete. `lost`: the request was sent, but no complete response arrived. `unsent`: nothing was sent. `disowned`: the target did not execute the request."},
-	{"refusals", []string{"service", "reason"}, "Requests for which no target was chosen, by reason. `targetless`: no run of the service is listed or all are leaving, or the request was already tried at all of them. `overdue`: no start can meet the deadline. `crowded`: the requests ahead take longer to start than the request can wait. `roomless`: no target has a free slot for a hedge."},
+	{"refusals", []string{"service", "reason"}, "Requests for which no target was chosen, by reason. `targetless`: no run of the service is listed or all are leaving, or the request was already tried at all of them. `overdue`: no start can meet the deadline. `crowded`: the requests ahead take longer to start than the request can wait. `roomless`: no target has a free slot for a hedge. `limited`: the targets that are left take no further request in time, by the limits that they name."},
 	{"wait_seconds", nil, "Time that a request waits for a target."},
 	{"latency_seconds", nil, "Time from the arrival of a request to its end."},
 	{"report_age_seconds", nil, "Age of the load report that a choice used. Values above 6 ms, the age up to which a report counts as fresh, mean that choices use old reports."},
@@ -31,6 +31,8 @@
 	{"probes_withheld", nil, "Probes that were not sent because this instance's share of the probe budget was used up."},
 	{"probes_failed", nil, "Probes that got no answer, or one with a status other than 200."},
 	{"limited_answers", []string{"service", "purpose"}, "Responses of targets that name a limit on the requests that they take, by the purpose of the message that they answer, `request` or `probe`. The target counts both."},
+	{"permits", []string{"service", "result"}, "Requests for a permit to send to a target that names a limit. `withheld`: the limit allows no further message at that moment, and the request goes elsewhere or waits."},
+	{"targets_limited", nil, "Runs of targets that name a limit, in this instance's view."},
 	{"searches_abroad", nil, "Searches for free slots in a remote zone, by asking an instance there."},
 	{"targets_lent", nil, "Targets with free slots that were offered to remote zones."},
 	{"target_connections_opened", nil, "Connections opened to targets. If it grows as fast as the number of attempts, targets close the connection after each response."},
--- a/internal/process/relayer/relayer.go
+++ b/internal/process/relayer/relayer.go
@@ -73,6 +73,9 @@
 	// OfferTargets returns targets of a service with free slots in this instance's
 	// place. nil returns none.
 	OfferTargets func(ctx context.Context, service string) []TargetOffer
+	// Permit answers a peer that asks for a permit to send to a limited run of a target.
+	// It must not block.
+	Permit func(q PermitRequest, now time.Time) PermitResponse
 	// OnMembersChange is called with all other members after each change. It must not
 	// block or call the relayer.
 	OnMembersChange func(members []detector.Member, changes []detector.Change)
--- a/internal/process/relayer/rumor.go
+++ b/internal/process/relayer/rumor.go
@@ -33,6 +33,10 @@
 	// incarnation and Fingerprint its number. Target is the peer address of the
 	// successor and Start its incarnation in hexadecimal.
 	Successor
+	// Limit says how many requests per second a run of a target takes from all instances
+	// together. Service, Start and Rate are set; the Rate of a run without a limit is
+	// infinite. A later rumor replaces an earlier one of the same run.
+	Limit
 	topicCount
 )
 
@@ -57,6 +61,7 @@
 	Cleared:   {name: "cleared", ttl: time.Minute, urgent: true, gathered: true},
 	Outage:    {name: "outage", ttl: 30 * time.Second},
 	Successor: {name: "heir", ttl: 10 * time.Minute, urgent: true},
+	Limit:     {name: "limit", ttl: 10 * time.Minute, urgent: true, gathered: true},
 }
 
 // LoadTTL is how long a Load rumor is valid. The instance spreads its load again
--- a/internal/process/relayer/spread.go
+++ b/internal/process/relayer/spread.go
@@ -54,11 +54,7 @@
 	// Copies of this rumor on other instances expire a little later, and may arrive
 	// after it has expired here. So the id is remembered for twice the TTL.
 	rs.seen[r.ID] = now.Add(2 * ttl)
-	if r.Topic == Load {
-		rs.active = slices.DeleteFunc(rs.active, func(a activeRumor) bool {
-			return a.rumor.Topic == Load && a.rumor.Instance == r.Instance && a.rumor.Place == r.Place && a.rumor.Service == r.Service
-		})
-	}
+	rs.active = slices.DeleteFunc(rs.active, func(a activeRumor) bool { return r.replaces(a.rumor) })
 	rs.active = append(rs.active, activeRumor{rumor: r, expires: now.Add(ttl)})
 	if len(rs.active) > maxActiveRumors {
 		rs.active = slices.Delete(rs.active, 0, 1)
@@ -66,6 +62,14 @@
 	return true
 }
 
+// replaces reports whether a rumor makes an earlier one needless.
+func (r *Rumor) replaces(o Rumor) bool {
+	if r.Topic != o.Topic || r.Place != o.Place || r.Service != o.Service {
+		return false
+	}
+	return r.Topic == Load && r.Instance == o.Instance || r.Topic == Limit && r.Start == o.Start
+}
+
 // forPacket returns the rumors for a packet to a member of a place and counts them as
 // sent. It prefers the rumors that were sent least often, and returns each a bounded
 // number of times. fleet is the number of other members.
--- a/internal/process/relayer/wire.go
+++ b/internal/process/relayer/wire.go
@@ -22,6 +22,8 @@
 	kindConfirm
 	kindFindTargets
 	kindTargetOffers
+	kindAskPermit
+	kindPermit
 	// messageKindEnd is one above the last kind.
 	messageKindEnd
 )
@@ -42,6 +44,8 @@
 	kindConfirm:         "vouch",
 	kindFindTargets:     "find",
 	kindTargetOffers:    "found",
+	kindAskPermit:       "ask",
+	kindPermit:          "permit",
 }
 
 // handler handles a received message. It returns an error for an invalid message,
@@ -65,6 +69,8 @@
 		kindConfirm:         r.handleConfirm,
 		kindFindTargets:     r.handleFind,
 		kindTargetOffers:    handleResponse,
+		kindAskPermit:       r.handleAskPermit,
+		kindPermit:          handleResponse,
 	}
 }
 
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -97,6 +97,9 @@
 	// with a free slot. If it is nil or returns false, the placer probes the targets of
 	// the zone itself.
 	CanSearch func(zone string, now time.Time) bool
+	// NeedsRecheck reports whether a limited target may get a request although other
+	// targets have room, to learn whether its limit has ended. If it is nil, none may.
+	NeedsRecheck func(t Target, now time.Time) bool
 
 	targets map[string]*targetState
 	// searches holds the start of the outstanding search in each remote zone.
@@ -138,7 +141,7 @@
 		if !s.reportsLoad {
 			s.Slots = max(t.Slots, 1)
 		}
-		s.Zone, s.Address = t.Zone, t.Address
+		s.Zone, s.Address, s.Limited = t.Zone, t.Address, t.Limited
 		if s.WarmupEnd.IsZero() || t.WarmupEnd.Before(s.WarmupEnd) {
 			s.WarmupEnd = t.WarmupEnd
 		}
@@ -205,6 +208,28 @@
 	}
 }
 
+// SetLimited records whether a target names a limit.
+func (p *Placer) SetLimited(id string, limited bool) {
+	if s := p.targets[id]; s != nil {
+		s.Limited, s.closedUntil = limited, time.Time{}
+	}
+}
+
+// Withhold records that a granted request was not sent, because the target's limit allows
+// no request until the given time.
+func (p *Placer) Withhold(id string, t *Ticket, until time.Time) {
+	s := p.targets[id]
+	if s == nil {
+		return
+	}
+	if began, known := s.removeRequest(t); known {
+		if k := slices.Index(p.starts, began); k >= 0 {
+			p.starts = slices.Delete(p.starts, k, k+1)
+		}
+	}
+	s.closedUntil = until
+}
+
 // ReportSlow records that a request takes much longer at a target than expected. It
 // counts as a failure of the target.
 func (p *Placer) ReportSlow(id string, now time.Time) {
--- a/internal/request/placer/remote.go
+++ b/internal/request/placer/remote.go
@@ -38,7 +38,7 @@
 	}
 	var free []*targetState
 	for _, s := range p.usable(&Ticket{}, now) {
-		if p.isLocal(s) && s.reportsLoad && s.fresh(now, freshReportAge) && s.hasFreeSlot(now) && s.slowdown(now) <= slowdown {
+		if p.isLocal(s) && !s.Limited && s.reportsLoad && s.fresh(now, freshReportAge) && s.hasFreeSlot(now) && s.slowdown(now) <= slowdown {
 			free = append(free, s)
 		}
 	}
--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -110,14 +110,17 @@
 		age = min(max(2*now.Sub(t.Arrived), freshReportAge), staleReportAge)
 	}
 	noReports := p.noReports(t, usable, now)
-	least := math.Inf(1)
 	var free []*targetState
 	for _, s := range usable {
 		if (noReports || s.fresh(now, age)) && s.hasFreeSlot(now) {
 			free = append(free, s)
-			least = min(least, s.slowdown(now))
 		}
 	}
+	free = p.preferUnlimited(t, free, usable, now)
+	least := math.Inf(1)
+	for _, s := range free {
+		least = min(least, s.slowdown(now))
+	}
 	free = slices.DeleteFunc(free, func(s *targetState) bool { return !noReports && s.slowdown(now) > equalRatio*least })
 	if len(free) == 0 {
 		return nil, 0
@@ -129,6 +132,41 @@
 	return s, s.slowdown(now)
 }
 
+// preferUnlimited removes the limited targets from the free ones if another one is free or
+// may still report a free slot. If a limited target needs a recheck, it returns only such
+// targets.
+func (p *Placer) preferUnlimited(t *Ticket, free, usable []*targetState, now time.Time) []*targetState {
+	limited := func(s *targetState) bool { return s.Limited }
+	if !slices.ContainsFunc(free, limited) {
+		return free
+	}
+	var rechecked []*targetState
+	for _, s := range free {
+		if s.Limited && p.isRechecked(t, s, now) {
+			rechecked = append(rechecked, s)
+		}
+	}
+	if len(rechecked) > 0 {
+		return rechecked
+	}
+	unlimited := func(s *targetState) bool { return !s.Limited }
+	mayFindRoom := slices.ContainsFunc(free, unlimited) || t.rounds == 0 || p.awaitsReport(usable, now)
+	if slices.ContainsFunc(usable, unlimited) && mayFindRoom {
+		return slices.DeleteFunc(free, limited)
+	}
+	return free
+}
+
+// isRechecked reports whether a request goes to a limited target to learn whether its limit
+// has ended. That must cost the request nothing.
+func (p *Placer) isRechecked(t *Ticket, s *targetState, now time.Time) bool {
+	if t.Hedge || t.NonIdempotent || p.NeedsRecheck == nil || s.slowdown(now) > maxSlowdownPastObjective {
+		return false
+	}
+	expected := time.Duration(s.slowdown(now) * float64(p.workTime(t)))
+	return !now.Add(expected).After(t.ObjectiveTime) && p.NeedsRecheck(s.Target, now)
+}
+
 // isLocal reports whether a target is in the zone of this instance.
 func (p *Placer) isLocal(s *targetState) bool { return s.Zone == p.Zone }
 
@@ -139,14 +177,14 @@
 }
 
 // usable returns the targets that a request may be sent to. It excludes targets that
-// the request was sent to, and avoided targets unless most targets are avoided. For
+// the request was sent to, targets whose limit allows no request now, and avoided targets unless most targets are avoided. For
 // a non-idempotent request it also excludes targets with a recent failure, unless
 // most targets have one or are avoided.
 func (p *Placer) usable(t *Ticket, now time.Time) []*targetState {
 	var all, good, safe []*targetState
 	for _, id := range p.ids {
 		s := p.targets[id]
-		if slices.Contains(t.Avoid, id) {
+		if slices.Contains(t.Avoid, id) || s.isClosed(now) {
 			continue
 		}
 		all = append(all, s)
@@ -184,14 +222,23 @@
 	rejection := func(r Reason, wait time.Duration) (Rejection, bool) {
 		return Rejection{Ticket: t, RetryAfter: max(p.spread(wait), minRetryAfter), Reason: r}, true
 	}
+	wait := p.expectedWait(rank)
+	last := t.Deadline.Add(-p.shortestWorkTime(t))
 	if len(usable) == 0 {
-		return rejection(NoTarget, noTargetRetryAfter)
+		opening, closed := p.firstOpening(t, now)
+		wait = max(wait, opening.Sub(now))
+		switch {
+		case !closed:
+			return rejection(NoTarget, noTargetRetryAfter)
+		case t.Hedge:
+			return rejection(NoFreeSlot, 0)
+		case now.Add(wait).After(last):
+			return rejection(Limited, wait)
+		}
 	}
 	if t.Hedge && t.rounds > 0 && !p.awaitsReport(usable, now) {
 		return rejection(NoFreeSlot, 0)
 	}
-	wait := p.expectedWait(rank)
-	last := t.Deadline.Add(-p.shortestWorkTime(t))
 	if now.After(last) {
 		return rejection(DeadlineUnreachable, wait)
 	}
@@ -201,6 +248,18 @@
 	return Rejection{}, false
 }
 
+// firstOpening returns when the first of the targets that are closed by their limits
+// allows a request, and whether there is such a target for the request.
+func (p *Placer) firstOpening(t *Ticket, now time.Time) (opening time.Time, closed bool) {
+	for _, id := range p.ids {
+		s := p.targets[id]
+		if s.isClosed(now) && !slices.Contains(t.Avoid, id) && (!closed || s.closedUntil.Before(opening)) {
+			opening, closed = s.closedUntil, true
+		}
+	}
+	return opening, closed
+}
+
 // spread varies a wait by up to 25 % so that clients do not retry at the same time.
 func (p *Placer) spread(wait time.Duration) time.Duration {
 	return time.Duration((0.75 + 0.5*p.Random()) * float64(wait))
@@ -293,7 +352,7 @@
 func (p *Placer) probeCandidates(t *Ticket, now time.Time) (local, remote []*targetState) {
 	for _, s := range p.usable(t, now) {
 		switch {
-		case s.answeredWithoutLoad || len(s.running) >= s.Slots || !s.probeSent.IsZero() && now.Sub(s.probeSent) < probeTimeout:
+		case s.Limited || s.answeredWithoutLoad || len(s.running) >= s.Slots || !s.probeSent.IsZero() && now.Sub(s.probeSent) < probeTimeout:
 		case s.fresh(now, freshReportAge) && !s.hasFreeSlot(now):
 		case p.isLocal(s):
 			local = append(local, s)
--- a/internal/request/placer/ticket.go
+++ b/internal/request/placer/ticket.go
@@ -71,11 +71,13 @@
 	WaitTooLong
 	// NoFreeSlot means that no target has a free slot for a hedged request.
 	NoFreeSlot
+	// Limited means that the limits of the targets that are left allow no request in time.
+	Limited
 )
 
 // String returns the name of the reason in logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"targetless", "overdue", "crowded", "roomless"}[r]
+	return [...]string{"targetless", "overdue", "crowded", "roomless", "limited"}[r]
 }
 
 // Actions holds what the caller of Step has to do.
--- a/internal/standin/mutator/variants_test.go
+++ b/internal/standin/mutator/variants_test.go
@@ -24,6 +24,17 @@
 	{"TestProbesKeepTheShare", "internal/request/budgeter", []Edit{{
 		"internal/request/budgeter/probes.go", "float64(max(fleet, 1))", "float64(max(fleet/2, 1))",
 	}}},
+	{"TestFleetKeepsTheLimitOfATarget", "internal/process/limiter", []Edit{{
+		"internal/process/limiter/owner.go", "Share: float64(visible) / float64(1+len(members))", "Share: 1",
+	}}},
+	{"TestTargetGetsNoMoreThanTheLimitThatItNames", "platform", []Edit{{
+		"internal/process/forwarder/limits.go", "s.placer.SetLimited(key, s.forwarder.limiter.Rate(key) != limiter.Unlimited)", "s.placer.SetLimited(key, false)",
+	}, {
+		"internal/process/forwarder/limits.go", "	if f.limiter.Rate(t.ID) == limiter.Unlimited {\n", "	if true {\n",
+	}}},
+	{"TestOverloadIsRejectedWithinTheLimitsOfAllTargets", "platform", []Edit{{
+		"internal/process/limiter/owner.go", "	if !leaving {\n		add(self)\n	}\n", "	if !leaving {\n		return Owner{Peer: self.Peer, Share: 1}\n	}\n",
+	}}},
 	{"TestLeavingRunNeverReturns", "internal/process/registrar", []Edit{{
 		"internal/process/registrar/registrar.go", "if e.leavingSince.IsZero() || state == Leaving {", "if true {",
 	}}},
