Let other instances serve the callers of one that is cut off from the targets

Callers saw refusals or passed deadlines at instances that had lost their links to all targets: 14 of 146 and 0 of 34 first tries were served there, 112 of 112 and 230 of 231 at the others. An instance judged each target by itself and had no view of its own links. It went on trying four targets per request, was alive and ready for its peers and the platform, and so was named to clients. Class: a fault of the observer is taken for faults of all that it observes. Change: package surveyor decides per service. If new connections to three targets go unanswered, six targets are contacted; if none answers, and none on an older connection, the instance is cut off from the service. Its requests, also those that already wait, are relayed to instances that serve, by the operations that the relayer has. A request is relayed once, with the time that is left, to an instance with settings that are no older. "Not run" stays true: another instance is tried only if the one before has certainly not begun. A request whose attempts all could not be sent is relayed too, which covers links that refuse new connections while open ones live on. An instance that is cut off from all services says so in the membership: the directory, searches in other zones and the ownership of limits pass over it. If nobody takes a request it is rejected at once with the time to return. The first answer ends the cut, and the failures that it left with the targets are forgotten.

--- a/internal/connection/exchanger/conn.go
+++ b/internal/connection/exchanger/conn.go
@@ -46,6 +46,8 @@
 	// NonIdempotent means that the request must not run twice. It is sent only on a
 	// connection that is new or received a response within maxNonIdempotentIdle.
 	NonIdempotent bool
+	// NewConnection means that the request is sent on a new connection.
+	NewConnection bool
 	// MaxConnections bounds the open connections to the target.
 	MaxConnections int
 }
@@ -53,7 +55,7 @@
 // Send sends a request to a target once and reads the complete response. The error
 // is nil exactly when the effect is Done or NotExecuted.
 func (x *Exchanger) Send(ctx context.Context, target netip.AddrPort, q *Request) (*sender.Response, sender.Effect, error) {
-	c, err := x.acquire(ctx, target, q.MaxConnections, q.NonIdempotent)
+	c, err := x.acquire(ctx, target, q)
 	if err != nil {
 		return nil, sender.Unsent, err
 	}
--- a/internal/connection/exchanger/exchanger.go
+++ b/internal/connection/exchanger/exchanger.go
@@ -74,21 +74,24 @@
 
 // acquire returns an idle connection to a target, or a new one if no idle
 // connection can carry the request.
-func (x *Exchanger) acquire(ctx context.Context, target netip.AddrPort, maxConnections int, nonIdempotent bool) (*conn, error) {
+func (x *Exchanger) acquire(ctx context.Context, target netip.AddrPort, q *Request) (*conn, error) {
+	if q.NewConnection {
+		return x.dial(ctx, target, q.MaxConnections)
+	}
 	for c := x.popIdle(target); c != nil; c = x.popIdle(target) {
 		now := time.Now()
 		if !now.Before(c.expires) || !c.isUsable() {
 			c.close()
 			continue
 		}
-		if !nonIdempotent || now.Sub(c.lastResponse) < maxNonIdempotentIdle {
+		if !q.NonIdempotent || now.Sub(c.lastResponse) < maxNonIdempotentIdle {
 			return c, nil
 		}
 		// The other idle connections received their last response even earlier.
 		x.pushIdle(c)
 		break
 	}
-	return x.dial(ctx, target, maxConnections)
+	return x.dial(ctx, target, q.MaxConnections)
 }
 
 func (x *Exchanger) popIdle(target netip.AddrPort) *conn {
--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -152,6 +152,7 @@
 		Table: i.tables.Current, InstanceCount: func() int { return int(i.instanceCount.Load()) },
 		SpreadRumor: i.spreadRumor, OnTargetReplaced: i.targetReplaced, CanSearch: i.canSearch, Search: i.search,
 		LimitOwner: i.limitOwner, AskPermit: i.askPermit, SpreadLimit: i.spreadLimit,
+		OnCutOff: i.cutOffChanged, CanRelay: i.canRelay, Relay: i.relay,
 		Logger: o.Logger, Scope: o.Scope,
 	})
 	i.relayer = relayer.New(relayer.Options{
@@ -162,6 +163,7 @@
 		DocumentsCurrent: i.documentsCurrent, OnMembersChange: i.membersChanged,
 		OfferTargets: i.offerTargets,
 		Permit:       i.grantPermit,
+		Execute:      i.serveRelayed,
 		Logger:       o.Logger, Scope: o.Scope,
 	})
 	source := o.NewSource(Sink{OfferTable: i.offerTable, OfferList: i.offerList})
@@ -227,7 +229,7 @@
 // Addresses returns the addresses of instances that the directory tells a client of
 // a zone.
 func (i *Instance) Addresses(zone string) []netip.AddrPort {
-	return director.Choose(zone, i.self, i.Ready(), i.relayer.Members(), rand.IntN)
+	return director.Choose(zone, i.relayer.Self(), i.Ready(), i.relayer.Members(), rand.IntN)
 }
 
 // maintain expires runs, closes idle connections and updates the gauges until the
@@ -249,6 +251,7 @@
 				i.updateTargets(now)
 			}
 			i.forwarder.CloseIdleConnections(now)
+			i.forwarder.CheckLinks(now)
 		}
 	}
 }
--- a/internal/process/composer/shutdown.go
+++ b/internal/process/composer/shutdown.go
@@ -62,7 +62,7 @@
 	time.Sleep(share(acceptShare))
 	l.Close()
 	i.acceptor.CloseIdle()
-	for i.acceptor.PendingRequests() > 0 && time.Now().Before(drainDeadline) {
+	for i.acceptor.PendingRequests()+i.relayer.Executing() > 0 && time.Now().Before(drainDeadline) {
 		time.Sleep(busyCheckInterval)
 	}
 	// Clients read the last responses before their connections close.
--- a/internal/process/detector/detector.go
+++ b/internal/process/detector/detector.go
@@ -275,6 +275,19 @@
 	return d.announce(now)
 }
 
+// SetCutOff records whether the instance can reach no target, and returns pings that
+// announce it.
+func (d *Detector) SetCutOff(cutOff bool, now time.Time) []Outgoing {
+	if d.self.CutOff == cutOff {
+		return nil
+	}
+	d.self.CutOff = cutOff
+	d.self.Revision++
+	d.updateDigest()
+	d.enqueue(d.self)
+	return d.announce(now)
+}
+
 // FinishLeaving ends the instance's own incarnation for good and returns the leave
 // messages.
 func (d *Detector) FinishLeaving(now time.Time) []Outgoing {
--- a/internal/process/detector/gossip.go
+++ b/internal/process/detector/gossip.go
@@ -85,7 +85,7 @@
 	}
 }
 
-// memberHash hashes the address, the incarnation and Leaving of a member.
+// memberHash hashes the address, the incarnation, Leaving and CutOff of a member.
 func memberHash(m Member) uint64 {
 	h := fnv.New64a()
 	address, _ := m.Instance.Peer.MarshalBinary()
@@ -94,5 +94,8 @@
 	if m.Leaving {
 		h.Write([]byte{1})
 	}
+	if m.CutOff {
+		h.Write([]byte{2})
+	}
 	return h.Sum64()
 }
--- a/internal/process/detector/member.go
+++ b/internal/process/detector/member.go
@@ -40,8 +40,14 @@
 	State    State
 	// Leaving is set by the member itself, before it ends, and never cleared.
 	Leaving bool
+	// CutOff is set by the member itself while it cannot reach any target. The statement
+	// with the highest revision counts.
+	CutOff bool
 }
 
+// Serves reports whether the member can be expected to serve requests.
+func (m Member) Serves() bool { return m.State == Alive && !m.Leaving && !m.CutOff }
+
 // Usable reports whether callers may be told to use the member.
 func (m Member) Usable() bool { return m.State <= Suspect && !m.Leaving }
 
@@ -58,8 +64,8 @@
 // Change is one change of the view, for logs and for users of the membership.
 type Change struct {
 	Member Member
-	// Before is the state before the change. It equals Member.State when only Leaving
-	// changed or when New is set.
+	// Before is the state before the change. It equals Member.State when only Leaving or
+	// CutOff changed or when New is set.
 	Before State
 	// New is set for an incarnation that has just been added.
 	New bool
--- a/internal/process/detector/merge.go
+++ b/internal/process/detector/merge.go
@@ -121,7 +121,7 @@
 }
 
 // merge applies a statement about the incarnation that is held. Leaving stays set
-// once it is set. A statement that the member is alive makes it alive only if the
+// once it is set. CutOff is that of the highest revision. A statement that the member is alive makes it alive only if the
 // revision is higher than the one held; otherwise it only schedules a check of a
 // failed member. A suspicion applies to an alive member unless the revision is lower
 // than the one held. A report of a failure changes no state.
@@ -137,6 +137,12 @@
 	if newer {
 		r.member.Revision = m.Revision
 	}
+	if newer && m.CutOff != r.member.CutOff {
+		r.member.CutOff = m.CutOff
+		r.hash = memberHash(r.member)
+		d.recordChange(Change{Member: r.member, Before: r.member.State})
+		d.enqueue(r.member)
+	}
 	switch {
 	case m.State == Alive && newer:
 		d.setState(r, Alive, now)
--- a/internal/process/director/director.go
+++ b/internal/process/director/director.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"oriolecourse.example/oriolecourse/internal/process/detector"
-	"oriolecourse.example/oriolecourse/internal/version/lister"
 )
 
 const (
@@ -22,31 +21,50 @@
 // order. If there are more than maxAddresses, it returns a random sample of them, which
 // may lack the only local instance among many remote ones. Self is this instance, and
 // ready says whether it accepts clients. Random returns a number in [0, n).
-func Choose(zone string, self lister.Instance, ready bool, members []detector.Member, random func(n int) int) []netip.AddrPort {
-	var addresses, remote []netip.AddrPort
-	add := func(i lister.Instance) {
-		if i.Zone == zone {
-			addresses = append(addresses, i.Address)
-		} else {
-			remote = append(remote, i.Address)
-		}
-	}
-	for _, m := range members {
-		if m.State == detector.Alive && !m.Leaving {
-			add(m.Instance)
-		}
-	}
+func Choose(zone string, self detector.Member, ready bool, members []detector.Member, random func(n int) int) []netip.AddrPort {
 	if ready {
-		add(self)
-	}
-	if len(addresses) < minLocal {
-		addresses = append(addresses, remote...)
+		members = append(slices.Clone(members), self)
 	}
-	for i := range addresses {
-		j := i + random(len(addresses)-i)
-		addresses[i], addresses[j] = addresses[j], addresses[i]
+	var addresses []netip.AddrPort
+	for _, m := range Serving(zone, members, random) {
+		addresses = append(addresses, m.Instance.Address)
 	}
 	addresses = addresses[:min(maxAddresses, len(addresses))]
 	slices.SortFunc(addresses, netip.AddrPort.Compare)
 	return addresses
 }
+
+// Serving returns the members that serve requests of a zone, in random order: those of the
+// zone, and of remote zones too if there are fewer than minLocal. If all members that
+// accept clients are cut off from the targets, it returns these. Random returns a number in
+// [0, n).
+func Serving(zone string, members []detector.Member, random func(n int) int) []detector.Member {
+	serving := inZone(zone, members, detector.Member.Serves)
+	if len(serving) == 0 {
+		serving = inZone(zone, members, func(m detector.Member) bool { return m.State == detector.Alive && !m.Leaving })
+	}
+	for i := range serving {
+		j := i + random(len(serving)-i)
+		serving[i], serving[j] = serving[j], serving[i]
+	}
+	return serving
+}
+
+// inZone returns the members for which a condition holds, only those of the zone if there
+// are at least minLocal of them.
+func inZone(zone string, members []detector.Member, holds func(m detector.Member) bool) []detector.Member {
+	var local, remote []detector.Member
+	for _, m := range members {
+		switch {
+		case !holds(m):
+		case m.Instance.Zone == zone:
+			local = append(local, m)
+		default:
+			remote = append(remote, m)
+		}
+	}
+	if len(local) < minLocal {
+		local = append(local, remote...)
+	}
+	return local
+}
--- a/internal/process/director/director_test.go
+++ b/internal/process/director/director_test.go
@@ -18,7 +18,7 @@
 // choose returns the last byte of each chosen address.
 func choose(zone string, ready bool, members ...detector.Member) []byte {
 	var lastBytes []byte
-	for _, a := range Choose(zone, member(1, "a", detector.Alive, false).Instance, ready, members, func(int) int { return 0 }) {
+	for _, a := range Choose(zone, member(1, "a", detector.Alive, false), ready, members, func(int) int { return 0 }) {
 		lastBytes = append(lastBytes, a.Addr().As4()[3])
 	}
 	return lastBytes
@@ -35,6 +35,9 @@
 	require.Equal(t, []byte{1, 3}, choose("a", true, member(2, "a", alive, true), member(3, "b", alive, false)), "a leaving member must not be listed")
 	require.Equal(t, []byte{1, 3}, choose("z", true, member(3, "b", alive, false)), "all instances for a zone without instances")
 	require.Empty(t, choose("a", false))
+	cut := func(m detector.Member) detector.Member { m.CutOff = true; return m }
+	require.Equal(t, []byte{1, 2}, choose("a", true, member(2, "a", alive, false), cut(member(4, "a", alive, false))), "an instance that reaches no target must not be listed")
+	require.Equal(t, []byte{2, 4}, choose("a", false, cut(member(2, "a", alive, false)), cut(member(4, "a", alive, false))), "unless there is no other")
 	var many []detector.Member
 	for n := range byte(100) {
 		many = append(many, member(n+2, "a", alive, false))
--- a/internal/process/forwarder/execution.go
+++ b/internal/process/forwarder/execution.go
@@ -64,8 +64,8 @@
 	// running is the number of attempts in progress. placing is the number of decisions
 	// that the placer has still to make.
 	running, placing int
-	// mayHaveRun means that a target may have run the request.
-	mayHaveRun bool
+	// allUnsent means that an attempt could not be sent, and no target has responded.
+	allUnsent bool
 	// lastResponse is the latest complete response with a status of 500 or above. The
 	// client gets it if no other attempt succeeds.
 	lastResponse *sender.Response
@@ -190,8 +190,11 @@
 	switch r.effect {
 	case sender.Unsent:
 		e.sent--
+		e.allUnsent = e.allUnsent || len(e.tried) == 1
 	case sender.Lost:
 		e.mayHaveRun = true
+	case sender.NotExecuted:
+		e.allUnsent = false
 	case sender.Done:
 		e.mayHaveRun = true
 		if status < http.StatusInternalServerError {
@@ -258,6 +261,7 @@
 	ending := placer.Served
 	var load *placer.Load
 	if r.response != nil {
+		e.service.recordAnswer(now)
 		if l, reported := f.options.Dialect.Load(r.response.Header); reported {
 			load = &l
 		}
@@ -326,6 +330,8 @@
 	switch {
 	case e.lastResponse != nil:
 		return clientResponse(e.lastResponse), failed
+	case e.isUnreached():
+		return nil, unreached
 	case e.mayHaveRun:
 		return &acceptor.Response{Status: http.StatusBadGateway}, unknown
 	case e.rejection != nil:
@@ -334,6 +340,15 @@
 	return e.forwarder.rejection(e.service.retryAfterShed(time.Now())), rejected
 }
 
+// isUnreached reports whether another instance may serve the request, because this one is
+// cut off from the targets or could send it to none of those that it tried.
+func (e *execution) isUnreached() bool {
+	if e.rejection != nil {
+		return e.rejection.Reason == placer.CutOff && (!e.mayHaveRun || e.route.Idempotent)
+	}
+	return e.allUnsent && !e.mayHaveRun && e.forwarder.options.CanRelay()
+}
+
 // clientResponse returns the response of a target in the form for the client.
 func clientResponse(r *sender.Response) *acceptor.Response {
 	return &acceptor.Response{Status: r.Status, Header: r.Header, Body: r.Body}
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 
+	"oriolecourse.example/oriolecourse/internal/connection/acceptor"
 	"oriolecourse.example/oriolecourse/internal/connection/exchanger"
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
 	"oriolecourse.example/oriolecourse/internal/process/limiter"
@@ -89,6 +90,14 @@
 	AskPermit func(ctx context.Context, owner netip.AddrPort, key, zone string, known limiter.Fact) (limiter.Permit, error)
 	// SpreadLimit tells the other instances the limit that a run of a target names.
 	SpreadLimit func(service, key string, rate float64, now time.Time)
+	// OnCutOff is called when the instance is found to be cut off from the targets of all
+	// services, and when the cut has ended.
+	OnCutOff func(cutOff bool, now time.Time)
+	// CanRelay reports whether another instance may serve the requests of this one.
+	CanRelay func() bool
+	// Relay lets another instance serve a request, by settings of the version or a later
+	// one. The response is nil unless the result is RelayAnswered.
+	Relay func(ctx context.Context, q *acceptor.Request, version uint64) (*acceptor.Response, RelayResult)
 	// CanSearch reports whether an instance in a remote zone can be asked for
 	// targets with free slots.
 	CanSearch func(zone string, now time.Time) bool
@@ -108,6 +117,11 @@
 	limiter     *limiter.Limiter
 	counters    counters
 
+	// servicesByAddress holds the service of each target that may get new requests.
+	servicesByAddress atomic.Pointer[map[netip.AddrPort]*service]
+	// cutOff means that the instance is cut off from the targets of all services.
+	cutOff atomic.Bool
+
 	budget atomic.Pointer[Budget]
 
 	mutex    sync.Mutex
@@ -128,7 +142,7 @@
 	f.budget.Store(&o.Budget)
 	f.exchanger.LocalAddress = o.LocalAddress
 	f.exchanger.OnConnect = func(netip.AddrPort) { f.counters.connections.Inc(1) }
-	f.exchanger.OnContact = func(_ netip.AddrPort, err error) { f.counters.countContact(err == nil) }
+	f.exchanger.OnContact = f.recordContact
 	return f
 }
 
@@ -153,6 +167,7 @@
 			listed[runs[i].Key()] = true
 		}
 	}
+	f.setLinks(usable)
 	f.limiter.Retain(func(key string) bool { return listed[key] }, now)
 }
 
--- /dev/null
+++ b/internal/process/forwarder/relay_test.go
@@ -0,0 +1,97 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"oriolecourse.example/oriolecourse/internal/connection/acceptor"
+	"oriolecourse.example/oriolecourse/internal/process/limiter"
+	"oriolecourse.example/oriolecourse/internal/process/registrar"
+	"oriolecourse.example/oriolecourse/internal/version/router"
+)
+
+// cutFixture is a forwarder that is cut off from the targets of its only service.
+type cutFixture struct {
+	*Forwarder
+	relayed []*acceptor.Request
+	result  RelayResult
+	cutOff  bool
+}
+
+func newCutFixture(t *testing.T) *cutFixture {
+	t.Helper()
+	f := &cutFixture{}
+	table := &router.Table{
+		Version: 5, Services: []router.Service{{Name: "parts", HealthPath: "/healthz", MaxConnections: 10}},
+		Routes: []router.Route{{
+			Name: "order", Host: "h", Prefix: "/order/", Timeout: 2 * time.Second, LatencyObjective: time.Second, MaxAttempts: 2,
+			Services: []router.WeightedService{{Service: "parts", Weight: 1}},
+		}},
+	}
+	require.NoError(t, table.Prepare())
+	f.Forwarder = New(Options{
+		Dialect: Dialect{
+			RequestID: "Id", Deadline: "Deadline", RetryAfter: "Return",
+			Limit: func(http.Header) float64 { return limiter.Unlimited }, TargetName: func(http.Header) string { return "" },
+		},
+		Budget: Budget{RetryWindow: time.Second, ProbeRate: 100}, Table: func() *router.Table { return table },
+		InstanceCount: func() int { return 2 }, CanRelay: func() bool { return true },
+		OnCutOff:   func(cutOff bool, _ time.Time) { f.cutOff = cutOff },
+		LimitOwner: func(string, string) (limiter.Owner, bool) { return limiter.Owner{}, false },
+		Relay: func(_ context.Context, q *acceptor.Request, version uint64) (*acceptor.Response, RelayResult) {
+			require.Equal(t, uint64(5), version)
+			f.relayed = append(f.relayed, q)
+			return &acceptor.Response{Status: http.StatusOK}, f.result
+		},
+		Logger: log.NewNopLogger(), Scope: tally.NoopScope,
+	})
+	run := registrar.UsableRun{Run: registrar.Run{Name: "i", Service: "parts", Slots: 1, Address: netip.MustParseAddrPort("127.0.0.1:1")}}
+	f.SetTargets(map[string][]registrar.UsableRun{"parts": {run}}, time.Now())
+	f.CheckLinks(time.Now())
+	require.False(t, f.CutOff(), "nothing has failed")
+	f.recordContact(run.Address, context.DeadlineExceeded)
+	require.Eventually(t, f.CutOff, 5*time.Second, time.Millisecond)
+	return f
+}
+
+func order(at time.Time) *acceptor.Request {
+	return &acceptor.Request{Arrived: at, Method: "POST", RequestURI: "/order/1", Host: "h", Header: http.Header{"Id": {"1"}, "Deadline": {"1500"}}}
+}
+
+// Guards against a request that loses its deadline, or is passed on and on, while it is
+// relayed.
+func TestRelayedRequestKeepsItsDeadlineAndIsNotRelayedAgain(t *testing.T) {
+	f := newCutFixture(t)
+	require.Equal(t, http.StatusOK, f.Serve(t.Context(), order(time.Now().Add(-time.Second))).Status)
+	require.Len(t, f.relayed, 1)
+	left, err := time.ParseDuration(f.relayed[0].Header.Get("Deadline") + "ms")
+	require.NoError(t, err)
+	require.LessOrEqual(t, left, 500*time.Millisecond)
+	require.Positive(t, left)
+
+	require.Equal(t, http.StatusMisdirectedRequest, f.ServeRelayed(t.Context(), order(time.Now()), 5).Status)
+	require.Equal(t, http.StatusMisdirectedRequest, f.ServeRelayed(t.Context(), order(time.Now()), 6).Status, "its settings are older")
+	require.Len(t, f.relayed, 1)
+}
+
+// Guards against "not run" for a request that another instance may have run, and against
+// requests that ask every instance in turn while none takes them.
+func TestRelayThatFailsSaysWhatIsKnown(t *testing.T) {
+	f := newCutFixture(t)
+	f.result = RelayUnknown
+	require.Equal(t, http.StatusBadGateway, f.Serve(t.Context(), order(time.Now())).Status)
+	f.result = RelayUnsent
+	for range 3 {
+		r := f.Serve(t.Context(), order(time.Now()))
+		require.Equal(t, http.StatusServiceUnavailable, r.Status)
+		require.NotEmpty(t, r.Header.Get("Return"))
+	}
+	require.Len(t, f.relayed, 2)
+}
--- a/internal/process/forwarder/request.go
+++ b/internal/process/forwarder/request.go
@@ -33,6 +33,9 @@
 //   - malformed: 400. The request has no identifier, or its deadline is not valid.
 //   - notReady: 503. The instance has no routing table yet.
 //   - quarantined: 503. The quarantiner did not admit the request.
+//   - relayed: the response of another instance that served the request.
+//   - unreached: none. The request could be sent to no target, and another instance may
+//     serve it.
 const (
 	answered    outcome = "answered"
 	failed      outcome = "failed"
@@ -44,6 +47,8 @@
 	malformed   outcome = "malformed"
 	notReady    outcome = "not_ready"
 	quarantined outcome = "quarantined"
+	relayed     outcome = "relayed"
+	unreached   outcome = "unreached"
 )
 
 const (
@@ -68,12 +73,20 @@
 	// earlier.
 	deadline    time.Time
 	fingerprint quarantiner.Fingerprint
-	logger      log.Logger
+	// mayHaveRun means that a target may have run the request.
+	mayHaveRun bool
+	logger     log.Logger
 }
 
 // Serve returns the response to one request. The context ends when the client
 // disconnects.
 func (f *Forwarder) Serve(ctx context.Context, q *acceptor.Request) *acceptor.Response {
+	return f.serve(ctx, q, false)
+}
+
+// serve is Serve for a request that another instance may have relayed. Such a request is
+// not relayed again.
+func (f *Forwarder) serve(ctx context.Context, q *acceptor.Request, isRelayed bool) *acceptor.Response {
 	now := q.Arrived
 	id := q.Header.Get(f.options.Dialect.RequestID)
 	logger := log.With(f.options.Logger, "request", id)
@@ -97,9 +110,18 @@
 		service:  f.service(f.splitter.Pick(route)),
 		deadline: now.Add(min(timeout, route.Timeout)), logger: logger,
 	}
-	r.service.countRequest(route.Priority, now)
 	r.fingerprint = quarantiner.Sum("", r.service.name, route.Name, q.Method, q.RequestURI, q.Body)
-	response, o := r.admit(ctx)
+	response, o := (*acceptor.Response)(nil), unreached
+	if !r.service.relays() {
+		r.service.countRequest(route.Priority, now)
+		response, o = r.admit(ctx)
+	}
+	switch {
+	case o == unreached && isRelayed:
+		response = notTaken()
+	case o == unreached:
+		response, o = r.relay(ctx)
+	}
 	return f.finish(logger, r.service.name, o, now, response)
 }
 
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -13,6 +14,7 @@
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
 	"oriolecourse.example/oriolecourse/internal/process/limiter"
 	"oriolecourse.example/oriolecourse/internal/process/registrar"
+	"oriolecourse.example/oriolecourse/internal/process/surveyor"
 	"oriolecourse.example/oriolecourse/internal/request/budgeter"
 	"oriolecourse.example/oriolecourse/internal/request/placer"
 )
@@ -53,13 +55,20 @@
 	// retryMutex guards retries, and nothing else.
 	retryMutex sync.Mutex
 	retries    budgeter.Retries
+	// targets holds the targets that may get new requests.
+	targets atomic.Pointer[[]placer.Target]
+	// surveyor decides whether the instance is cut off from the targets.
+	surveyor *surveyor.Surveyor
+	// unrelayedUntil is when requests may be relayed again after no instance took one, in
+	// nanoseconds of Unix time.
+	unrelayedUntil atomic.Int64
 	// waiting holds the channel for the decision on each waiting request.
 	waiting map[*placer.Ticket]chan decision
 	timer   *time.Timer
 }
 
 func newService(f *Forwarder, name string) *service {
-	s := &service{forwarder: f, name: name, waiting: map[*placer.Ticket]chan decision{}}
+	s := &service{forwarder: f, name: name, waiting: map[*placer.Ticket]chan decision{}, surveyor: surveyor.New()}
 	s.retries.Window, s.retries.Rounding = f.budget.Load().RetryWindow, rand.Float64()
 	s.placer = placer.New(f.options.Zone, rand.Float64, s.allowProbes)
 	s.placer.CanSearch = f.options.CanSearch
@@ -114,6 +123,7 @@
 			Limited: s.forwarder.limiter.Rate(u.Key()) != limiter.Unlimited,
 		})
 	}
+	s.targets.Store(&targets)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.targetCount = len(targets)
@@ -161,6 +171,10 @@
 func (s *service) place(ctx context.Context, t *placer.Ticket) decision {
 	decided := make(chan decision, 1)
 	s.mutex.Lock()
+	if s.relays() {
+		s.mutex.Unlock()
+		return decision{rejection: &placer.Rejection{Ticket: t, Reason: placer.CutOff}}
+	}
 	s.waiting[t] = decided
 	s.placer.Submit(t)
 	s.step(time.Now())
@@ -232,23 +246,29 @@
 	return max(int(share), minConnections)
 }
 
+// probeRequest returns the request for a target's health path.
+func (s *service) probeRequest(t placer.Target) *exchanger.Request {
+	path := "/"
+	if table := s.forwarder.options.Table(); table != nil && table.Service(s.name) != nil {
+		path = table.Service(s.name).HealthPath
+	}
+	return &exchanger.Request{
+		Method: http.MethodGet, Path: path, Host: t.Address.String(),
+		IDHeader: s.forwarder.options.Dialect.RequestID, NotExecuted: func(*sender.Response) bool { return false },
+		MaxConnections: s.maxConnections(),
+	}
+}
+
 // probe requests a target's health path and passes the result to the placer.
 func (s *service) probe(t placer.Target, asked time.Time) {
 	f := s.forwarder
 	f.counters.probes.Inc(1)
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	path := "/"
-	if table := f.options.Table(); table != nil && table.Service(s.name) != nil {
-		path = table.Service(s.name).HealthPath
-	}
-	response, _, err := f.exchanger.Send(ctx, t.Address, &exchanger.Request{
-		Method: http.MethodGet, Path: path, Host: t.Address.String(),
-		IDHeader: f.options.Dialect.RequestID, NotExecuted: func(*sender.Response) bool { return false },
-		MaxConnections: s.maxConnections(),
-	})
+	response, _, err := f.exchanger.Send(ctx, t.Address, s.probeRequest(t))
 	now := time.Now()
 	if err == nil {
+		s.recordAnswer(now)
 		if name := f.options.Dialect.TargetName(response.Header); name != "" && name != t.Name {
 			f.options.OnTargetReplaced(t.ID, now)
 			return
--- a/internal/process/limiter/limiter_test.go
+++ b/internal/process/limiter/limiter_test.go
@@ -104,13 +104,13 @@
 	member := func(n byte, zone string, s detector.State, leaving bool) detector.Member {
 		return detector.Member{Instance: lister.Instance{Peer: at(n), Zone: zone}, State: s, Leaving: leaving}
 	}
-	require.Equal(t, Owner{Peer: at(1), Share: 1}, ChooseOwner(run, "a", self, false, nil))
-	require.Equal(t, Owner{Peer: at(1), Share: 1}, ChooseOwner(run, "b", self, true, nil))
+	require.Equal(t, Owner{Peer: at(1), Share: 1}, ChooseOwner(run, "a", self, true, nil))
+	require.Equal(t, Owner{Peer: at(1), Share: 1}, ChooseOwner(run, "b", self, false, nil))
 	members := []detector.Member{
 		member(2, "a", detector.Failed, false), member(3, "a", detector.Suspect, false),
 		member(4, "a", detector.Alive, true), member(5, "b", detector.Alive, false),
 	}
-	require.Equal(t, Owner{Peer: at(1), Share: 0.6}, ChooseOwner(run, "a", self, false, members))
-	require.Equal(t, Owner{Peer: at(5), Share: 0.6}, ChooseOwner(run, "b", self, false, members))
-	require.Equal(t, Owner{Peer: at(5), Share: 0.6}, ChooseOwner(run, "a", self, true, members))
+	require.Equal(t, Owner{Peer: at(1), Share: 0.6}, ChooseOwner(run, "a", self, true, members))
+	require.Equal(t, Owner{Peer: at(5), Share: 0.6}, ChooseOwner(run, "b", self, true, members))
+	require.Equal(t, Owner{Peer: at(5), Share: 0.6}, ChooseOwner(run, "a", self, false, members))
 }
--- a/internal/process/limiter/owner.go
+++ b/internal/process/limiter/owner.go
@@ -18,8 +18,8 @@
 }
 
 // ChooseOwner returns the owner of a run of a target in a zone. Self is this instance,
-// leaving says that it gets no new callers.
-func ChooseOwner(key, zone string, self lister.Instance, leaving bool, members []detector.Member) Owner {
+// serves says that it takes new callers and reaches the targets.
+func ChooseOwner(key, zone string, self lister.Instance, serves bool, members []detector.Member) Owner {
 	var local, remote []netip.AddrPort
 	add := func(i lister.Instance) {
 		if i.Zone == zone {
@@ -28,7 +28,7 @@
 			remote = append(remote, i.Peer)
 		}
 	}
-	if !leaving {
+	if serves {
 		add(self)
 	}
 	visible := 1
@@ -37,7 +37,7 @@
 			continue
 		}
 		visible++
-		if !m.Leaving {
+		if m.Serves() {
 			add(m.Instance)
 		}
 	}
--- a/internal/process/meter/metrics.go
+++ b/internal/process/meter/metrics.go
@@ -19,9 +19,9 @@
 
 // Metrics describes all metrics of an instance on a platform.
 var Metrics = []Metric{
-	{"requests", []string{"service", "outcome"}, "Requests by outcome. Many `refused`: too little free capacity. Many `unknown`: targets close connections before the response is complete. `not_ready`: the instance has no configuration yet."},
+	{"requests", []string{"service", "outcome"}, "Requests by outcome. Many `refused`: too little free capacity. Many `unknown`: targets close connections before the response is complete. `not_ready`: the instance has no configuration yet. `relayed`: another instance responded, because this one is cut off from all targets."},
 	{"attempts", []string{"service", "effect"}, "Attempts by effect. `done`: the response is complete. `lost`: the request was sent, but no complete response arrived. `unsent`: nothing was sent. `disowned`: the target did not execute the request."},
-	{"refusals", []string{"service", "reason"}, "Requests for which no target was chosen, by reason. `targetless`: no run of the service is listed or all are leaving, or the request was already tried at all of them. `overdue`: no start can meet the deadline. `crowded`: the requests ahead take longer to start than the request can wait. `roomless`: no target has a free slot for a hedge. `limited`: the targets that are left take no further request in time, by the limits that they name."},
+	{"refusals", []string{"service", "reason"}, "Requests for which no target was chosen, by reason. `targetless`: no run of the service is listed or all are leaving, or the request was already tried at all of them. `overdue`: no start can meet the deadline. `crowded`: the requests ahead take longer to start than the request can wait. `roomless`: no target has a free slot for a hedge. `limited`: the targets that are left take no further request in time, by the limits that they name. `cut`: the instance can reach no target."},
 	{"wait_seconds", nil, "Time that a request waits for a target."},
 	{"latency_seconds", nil, "Time from the arrival of a request to its end."},
 	{"report_age_seconds", nil, "Age of the load report that a choice used. Values above 6 ms, the age up to which a report counts as fresh, mean that choices use old reports."},
--- a/internal/process/relayer/relayer.go
+++ b/internal/process/relayer/relayer.go
@@ -209,6 +209,11 @@
 	r.step(now, func(d *detector.Detector) []detector.Outgoing { return d.StartLeaving(now) })
 }
 
+// SetCutOff announces whether this instance can reach no target.
+func (r *Relayer) SetCutOff(cutOff bool, now time.Time) {
+	r.step(now, func(d *detector.Detector) []detector.Outgoing { return d.SetCutOff(cutOff, now) })
+}
+
 // FinishLeaving ends this incarnation permanently. It sends the leave messages to a
 // few members and waits until they are sent or have failed. The caller stops the
 // relayer afterwards.
--- a/internal/process/relayer/run.go
+++ b/internal/process/relayer/run.go
@@ -155,7 +155,7 @@
 		}
 		level.Info(r.options.Logger).Log("msg", "member changed", "peer", c.Member.Instance.Peer,
 			"incarnation", c.Member.Incarnation, "state", c.Member.State, "before", c.Before,
-			"leaving", c.Member.Leaving, "new", c.New)
+			"leaving", c.Member.Leaving, "cut", c.Member.CutOff, "new", c.New)
 	}
 	if r.options.OnMembersChange != nil {
 		r.options.OnMembersChange(members, changes)
--- a/internal/process/seeker/seeker.go
+++ b/internal/process/seeker/seeker.go
@@ -52,7 +52,7 @@
 	}
 	var live []netip.AddrPort
 	for _, m := range members {
-		if m.Instance.Zone != zoneName || m.State != detector.Alive || m.Leaving {
+		if m.Instance.Zone != zoneName || !m.Serves() {
 			continue
 		}
 		if m.Instance.Peer == z.peer {
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -174,6 +174,24 @@
 	p.waiting = slices.DeleteFunc(p.waiting, func(o *Ticket) bool { return o == t })
 }
 
+// RejectAll rejects all waiting requests for a reason.
+func (p *Placer) RejectAll(reason Reason) []Rejection {
+	var all []Rejection
+	for _, t := range p.waiting {
+		all = append(all, Rejection{Ticket: t, RetryAfter: minRetryAfter, Reason: reason})
+	}
+	p.waiting = nil
+	return all
+}
+
+// ForgetFailures forgets the failures of all targets: their cause was elsewhere.
+func (p *Placer) ForgetFailures() {
+	for _, s := range p.targets {
+		s.failedProbes, s.failureShare, s.lastFailure = 0, 0, time.Time{}
+		s.avoidUntil, s.avoidTime = time.Time{}, 0
+	}
+}
+
 // Waiting returns the number of waiting requests.
 func (p *Placer) Waiting() int { return len(p.waiting) }
 
--- a/internal/request/placer/ticket.go
+++ b/internal/request/placer/ticket.go
@@ -73,11 +73,13 @@
 	NoFreeSlot
 	// Limited means that the limits of the targets that are left allow no request in time.
 	Limited
+	// CutOff means that this instance can reach no target.
+	CutOff
 )
 
 // String returns the name of the reason in logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"targetless", "overdue", "crowded", "roomless", "limited"}[r]
+	return [...]string{"targetless", "overdue", "crowded", "roomless", "limited", "cut"}[r]
 }
 
 // Actions holds what the caller of Step has to do.
--- a/internal/standin/mutator/variants_test.go
+++ b/internal/standin/mutator/variants_test.go
@@ -33,7 +33,10 @@
 		"internal/process/forwarder/limits.go", "	if f.limiter.Rate(t.ID) == limiter.Unlimited {\n", "	if true {\n",
 	}}},
 	{"TestOverloadIsRejectedWithinTheLimitsOfAllTargets", "platform", []Edit{{
-		"internal/process/limiter/owner.go", "	if !leaving {\n		add(self)\n	}\n", "	if !leaving {\n		return Owner{Peer: self.Peer, Share: 1}\n	}\n",
+		"internal/process/limiter/owner.go", "	if serves {\n		add(self)\n	}\n", "	if serves {\n		return Owner{Peer: self.Peer, Share: 1}\n	}\n",
+	}}},
+	{"TestCallersOfInstancesCutOffFromAllTargetsAreServed", "platform", []Edit{{
+		"internal/process/surveyor/surveyor.go", "	return !s.cutOff.Swap(true)\n", "	return false\n",
 	}}},
 	{"TestLeavingRunNeverReturns", "internal/process/registrar", []Edit{{
 		"internal/process/registrar/registrar.go", "if e.leavingSince.IsZero() || state == Leaving {", "if true {",
@@ -60,7 +63,7 @@
 	{"TestShutdownDropsNoRequest", "platform", []Edit{{
 		"internal/process/composer/shutdown.go", "	time.Sleep(share(acceptShare))\n", "",
 	}, {
-		"internal/process/composer/shutdown.go", "for i.acceptor.PendingRequests() > 0 && time.Now().Before(drainDeadline) {", "for false && time.Now().Before(drainDeadline) {",
+		"internal/process/composer/shutdown.go", "for i.acceptor.PendingRequests()+i.relayer.Executing() > 0 && time.Now().Before(drainDeadline) {", "for false && time.Now().Before(drainDeadline) {",
 	}}},
 	{"TestNothingIsSmuggled", "internal/connection/acceptor", []Edit{{
 		"internal/connection/acceptor/conn.go", "	h, err := parseHead(head)\n", "	h, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))\n",
