Choose one owner of a limit also when all instances are cut off

Cause: if no instance served, each became the owner of each limited target, with the whole limit. When targets come back, each instance could send one message at once. Change: the owner is chosen among the candidates of the directory, which are those that accept clients if none serves. Result: TestOwnerIsALiveInstanceOfTheZone now has the case; it failed before, since two instances that are both cut off each chose themselves.

--- a/internal/process/director/director.go
+++ b/internal/process/director/director.go
@@ -34,15 +34,10 @@
 	return addresses
 }
 
-// Serving returns the members that serve requests of a zone, in random order: those of the
-// zone, and of remote zones too if there are fewer than minLocal. If all members that
-// accept clients are cut off from the targets, it returns these. Random returns a number in
-// [0, n).
+// Serving returns the candidates for requests of a zone in random order. Random returns a
+// number in [0, n).
 func Serving(zone string, members []detector.Member, random func(n int) int) []detector.Member {
-	serving := inZone(zone, members, detector.Member.Serves)
-	if len(serving) == 0 {
-		serving = inZone(zone, members, func(m detector.Member) bool { return m.State == detector.Alive && !m.Leaving })
-	}
+	serving := Candidates(zone, members)
 	for i := range serving {
 		j := i + random(len(serving)-i)
 		serving[i], serving[j] = serving[j], serving[i]
@@ -50,6 +45,16 @@
 	return serving
 }
 
+// Candidates returns the members that serve requests of a zone: those of the zone, and of
+// remote zones too if there are fewer than minLocal. If all members that accept clients are
+// cut off from the targets, it returns these.
+func Candidates(zone string, members []detector.Member) []detector.Member {
+	if serving := inZone(zone, members, detector.Member.Serves); len(serving) > 0 {
+		return serving
+	}
+	return inZone(zone, members, func(m detector.Member) bool { return m.State == detector.Alive && !m.Leaving })
+}
+
 // inZone returns the members for which a condition holds, only those of the zone if there
 // are at least minLocal of them.
 func inZone(zone string, members []detector.Member, holds func(m detector.Member) bool) []detector.Member {
--- a/internal/process/limiter/fleet_test.go
+++ b/internal/process/limiter/fleet_test.go
@@ -105,7 +105,7 @@
 		}
 		members = append(members, detector.Member{Instance: other.self, State: state})
 	}
-	o := ChooseOwner(run, "a", i.self, true, members)
+	o := ChooseOwner(run, "a", detector.Member{Instance: i.self}, members)
 	f.owners[[2]int{at, k}] = o
 	return o
 }
--- a/internal/process/limiter/limiter_test.go
+++ b/internal/process/limiter/limiter_test.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -100,17 +101,27 @@
 // whole limit for an instance that sees only a part of the fleet.
 func TestOwnerIsALiveInstanceOfTheZone(t *testing.T) {
 	at := func(n byte) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 7000) }
-	self := lister.Instance{Peer: at(1), Zone: "a"}
-	member := func(n byte, zone string, s detector.State, leaving bool) detector.Member {
-		return detector.Member{Instance: lister.Instance{Peer: at(n), Zone: zone}, State: s, Leaving: leaving}
+	member := func(n byte, zone string, s detector.State, leaving, cutOff bool) detector.Member {
+		return detector.Member{Instance: lister.Instance{Peer: at(n), Zone: zone}, State: s, Leaving: leaving, CutOff: cutOff}
 	}
-	require.Equal(t, Owner{Peer: at(1), Share: 1}, ChooseOwner(run, "a", self, true, nil))
-	require.Equal(t, Owner{Peer: at(1), Share: 1}, ChooseOwner(run, "b", self, false, nil))
+	self, leaving := member(1, "a", detector.Alive, false, false), member(1, "a", detector.Alive, true, false)
+	require.Equal(t, Owner{Peer: at(1), Share: 1}, ChooseOwner(run, "a", self, nil))
+	require.Equal(t, Owner{Peer: at(1), Share: 1}, ChooseOwner(run, "b", leaving, nil))
 	members := []detector.Member{
-		member(2, "a", detector.Failed, false), member(3, "a", detector.Suspect, false),
-		member(4, "a", detector.Alive, true), member(5, "b", detector.Alive, false),
+		member(2, "a", detector.Failed, false, false), member(3, "a", detector.Suspect, false, false),
+		member(4, "a", detector.Alive, true, false), member(5, "b", detector.Alive, false, false),
+		member(6, "b", detector.Alive, false, false), member(7, "a", detector.Alive, false, true),
+		member(8, "a", detector.Alive, false, false),
 	}
-	require.Equal(t, Owner{Peer: at(1), Share: 0.6}, ChooseOwner(run, "a", self, true, members))
-	require.Equal(t, Owner{Peer: at(5), Share: 0.6}, ChooseOwner(run, "b", self, true, members))
-	require.Equal(t, Owner{Peer: at(5), Share: 0.6}, ChooseOwner(run, "a", self, false, members))
+	const share = 6.0 / 8
+	for k := range 50 {
+		key := fmt.Sprint(k)
+		local, remote := ChooseOwner(key, "a", self, members), ChooseOwner(key, "b", self, members)
+		require.Contains(t, []Owner{{Peer: at(1), Share: share}, {Peer: at(8), Share: share}}, local)
+		require.Contains(t, []Owner{{Peer: at(5), Share: share}, {Peer: at(6), Share: share}}, remote)
+		require.NotEqual(t, at(1), ChooseOwner(key, "a", leaving, members).Peer)
+	}
+	// If all are cut off, one of them is the owner in the view of all.
+	first, second := member(1, "a", detector.Alive, false, true), member(2, "a", detector.Alive, false, true)
+	require.Equal(t, ChooseOwner(run, "a", first, []detector.Member{second}), ChooseOwner(run, "a", second, []detector.Member{first}))
 }
--- a/internal/process/limiter/owner.go
+++ b/internal/process/limiter/owner.go
@@ -2,11 +2,12 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
 	"oriolecourse.example/oriolecourse/internal/process/detector"
-	"oriolecourse.example/oriolecourse/internal/version/lister"
+	"oriolecourse.example/oriolecourse/internal/process/director"
 )
 
 // Owner is the instance that counts the messages of the fleet to a run of a target.
@@ -17,39 +18,20 @@
 	Share float64
 }
 
-// ChooseOwner returns the owner of a run of a target in a zone. Self is this instance,
-// serves says that it takes new callers and reaches the targets.
-func ChooseOwner(key, zone string, self lister.Instance, serves bool, members []detector.Member) Owner {
-	var local, remote []netip.AddrPort
-	add := func(i lister.Instance) {
-		if i.Zone == zone {
-			local = append(local, i.Peer)
-		} else {
-			remote = append(remote, i.Peer)
+// ChooseOwner returns the owner of a run of a target in a zone. Self is this instance.
+func ChooseOwner(key, zone string, self detector.Member, members []detector.Member) Owner {
+	all := append(slices.Clone(members), self)
+	visible := 0
+	for _, m := range all {
+		if m.State == detector.Alive {
+			visible++
 		}
 	}
-	if serves {
-		add(self)
-	}
-	visible := 1
-	for _, m := range members {
-		if m.State != detector.Alive {
-			continue
-		}
-		visible++
-		if m.Serves() {
-			add(m.Instance)
-		}
-	}
-	candidates := local
-	if len(candidates) == 0 {
-		candidates = remote
-	}
-	o := Owner{Peer: self.Peer, Share: float64(visible) / float64(1+len(members))}
+	o := Owner{Peer: self.Instance.Peer, Share: float64(visible) / float64(len(all))}
 	most := uint64(0)
-	for _, c := range candidates {
-		if w := weight(c, key); w >= most {
-			o.Peer, most = c, w
+	for _, m := range director.Candidates(zone, all) {
+		if w := weight(m.Instance.Peer, key); w >= most {
+			o.Peer, most = m.Instance.Peer, w
 		}
 	}
 	return o
--- a/internal/standin/mutator/variants_test.go
+++ b/internal/standin/mutator/variants_test.go
@@ -25,7 +25,7 @@
 		"internal/request/budgeter/probes.go", "float64(max(fleet, 1))", "float64(max(fleet/2, 1))",
 	}}},
 	{"TestFleetKeepsTheLimitOfATarget", "internal/process/limiter", []Edit{{
-		"internal/process/limiter/owner.go", "Share: float64(visible) / float64(1+len(members))", "Share: 1",
+		"internal/process/limiter/owner.go", "Share: float64(visible) / float64(len(all))", "Share: 1",
 	}}},
 	{"TestTargetGetsNoMoreThanTheLimitThatItNames", "platform", []Edit{{
 		"internal/process/forwarder/limits.go", "s.placer.SetLimited(key, s.forwarder.limiter.Rate(key) != limiter.Unlimited)", "s.placer.SetLimited(key, false)",
@@ -33,7 +33,7 @@
 		"internal/process/forwarder/limits.go", "	if f.limiter.Rate(t.ID) == limiter.Unlimited {\n", "	if true {\n",
 	}}},
 	{"TestOverloadIsRejectedWithinTheLimitsOfAllTargets", "platform", []Edit{{
-		"internal/process/limiter/owner.go", "	if serves {\n		add(self)\n	}\n", "	if serves {\n		return Owner{Peer: self.Peer, Share: 1}\n	}\n",
+		"internal/process/limiter/owner.go", "	visible := 0\n", "	visible := 0\n	if key != \"\" {\n		return Owner{Peer: self.Instance.Peer, Share: 1}\n	}\n",
 	}}},
 	{"TestCallersOfInstancesCutOffFromAllTargetsAreServed", "platform", []Edit{{
 		"internal/process/surveyor/surveyor.go", "	return !s.cutOff.Swap(true)\n", "	return false\n",
