Check links at targets without a limit, and tell changes of a cut regularly

Cause: six contacts of a check count as messages of a limited target, and two services whose cuts change at the same time could leave the instance marked wrongly. Change: a check contacts limited targets only if there are no others; the mark of the instance is computed again with each round of maintenance. Found while reading.

--- a/internal/process/forwarder/links.go
+++ b/internal/process/forwarder/links.go
@@ -4,10 +4,12 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
 
+	"oriolecourse.example/oriolecourse/internal/process/limiter"
 	"oriolecourse.example/oriolecourse/internal/process/registrar"
 	"oriolecourse.example/oriolecourse/internal/request/placer"
 )
@@ -73,6 +75,7 @@
 	for _, s := range f.allServices() {
 		s.checkLinks(now)
 	}
+	f.updateCutOff(now)
 }
 
 // relays reports whether requests are relayed to other instances, because this one is cut
@@ -112,6 +115,9 @@
 // contactTargets contacts some targets on new connections. If none responds, and none has
 // responded on another connection meanwhile, the instance is cut off from the service.
 func (s *service) contactTargets(targets []placer.Target) {
+	if unlimited := s.unlimited(targets); len(unlimited) > 0 {
+		targets = unlimited
+	}
 	n := min(checkTargets, len(targets))
 	answers := make(chan bool, n)
 	for _, k := range rand.Perm(len(targets))[:n] {
@@ -137,6 +143,13 @@
 	}
 }
 
+// unlimited returns the targets that name no limit.
+func (s *service) unlimited(targets []placer.Target) []placer.Target {
+	return slices.DeleteFunc(slices.Clone(targets), func(t placer.Target) bool {
+		return s.forwarder.limiter.Rate(t.ID) != limiter.Unlimited
+	})
+}
+
 // contact reports whether a target responds on a new connection.
 func (s *service) contact(t placer.Target) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
