Say that the outcome is unknown if an attempt was made before a rejection elsewhere

Cause: an idempotent request that may have run here is relayed, and the other instance rejects it with 503, which promises that it has not run and never will. Found while reading. Change: the client gets 502. TestRejectionElsewhereDoesNotHideAnAttempt has it.

--- a/internal/process/forwarder/relay.go
+++ b/internal/process/forwarder/relay.go
@@ -57,6 +57,9 @@
 	q.Header.Set(f.options.Dialect.Deadline, strconv.FormatInt(left, 10))
 	response, result := f.options.Relay(ctx, &q, r.version)
 	switch {
+	case result == RelayAnswered && r.mayHaveRun && response.Status == http.StatusServiceUnavailable:
+		// The status says that the request has not run, which the other instance cannot know.
+		return &acceptor.Response{Status: http.StatusBadGateway}, unknown
 	case result == RelayAnswered:
 		return response, relayed
 	case result == RelayUnsent:
--- a/internal/process/forwarder/relay_test.go
+++ b/internal/process/forwarder/relay_test.go
@@ -22,12 +22,13 @@
 	*Forwarder
 	relayed []*acceptor.Request
 	result  RelayResult
+	status  int
 	cutOff  bool
 }
 
 func newCutFixture(t *testing.T) *cutFixture {
 	t.Helper()
-	f := &cutFixture{}
+	f := &cutFixture{status: http.StatusOK}
 	table := &router.Table{
 		Version: 5, Services: []router.Service{{Name: "parts", HealthPath: "/healthz", MaxConnections: 10}},
 		Routes: []router.Route{{
@@ -48,7 +49,7 @@
 		Relay: func(_ context.Context, q *acceptor.Request, version uint64) (*acceptor.Response, RelayResult) {
 			require.Equal(t, uint64(5), version)
 			f.relayed = append(f.relayed, q)
-			return &acceptor.Response{Status: http.StatusOK}, f.result
+			return &acceptor.Response{Status: f.status}, f.result
 		},
 		Logger: log.NewNopLogger(), Scope: tally.NoopScope,
 	})
@@ -95,3 +96,20 @@
 	}
 	require.Len(t, f.relayed, 2)
 }
+
+// Guards against "not run" for a request that this instance has sent to a target before
+// another instance rejected it.
+func TestRejectionElsewhereDoesNotHideAnAttempt(t *testing.T) {
+	f := newCutFixture(t)
+	f.status = http.StatusServiceUnavailable
+	q := order(time.Now())
+	table := f.options.Table()
+	r := &request{Request: q, forwarder: f.Forwarder, route: table.Match("h", "/order/1"), version: 5, service: f.service("parts"), deadline: time.Now().Add(time.Second)}
+	response, o := r.relay(t.Context())
+	require.Equal(t, http.StatusServiceUnavailable, response.Status)
+	require.Equal(t, relayed, o)
+	r.mayHaveRun = true
+	response, o = r.relay(t.Context())
+	require.Equal(t, http.StatusBadGateway, response.Status)
+	require.Equal(t, unknown, o)
+}
