Choose the owner of a limited target once in a view of the fleet

Cause: the placer asks for the owner of each limited target that needs a recheck in each step, and the choice hashes all members. Found while reading, not measured. Change: Owners keeps the choices until the membership changes.

--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -23,6 +23,7 @@
 	"oriolecourse.example/oriolecourse/internal/process/detector"
 	"oriolecourse.example/oriolecourse/internal/process/director"
 	"oriolecourse.example/oriolecourse/internal/process/forwarder"
+	"oriolecourse.example/oriolecourse/internal/process/limiter"
 	"oriolecourse.example/oriolecourse/internal/process/registrar"
 	"oriolecourse.example/oriolecourse/internal/process/relayer"
 	"oriolecourse.example/oriolecourse/internal/process/seeker"
@@ -124,7 +125,9 @@
 	relayer   *relayer.Relayer
 	syncer    *syncer.Syncer
 	seeker    *seeker.Seeker
-	acceptor  *acceptor.Acceptor
+	// limitOwners holds the owners of the targets that name limits.
+	limitOwners limiter.Owners
+	acceptor    *acceptor.Acceptor
 	// startTime is the time at which New was called.
 	startTime time.Time
 	// leaving is set once shutdown has begun.
--- a/internal/process/composer/limits.go
+++ b/internal/process/composer/limits.go
@@ -12,7 +12,7 @@
 // limitOwner returns the owner of a run of a target in a zone and whether it is this
 // instance.
 func (i *Instance) limitOwner(key, zone string) (limiter.Owner, bool) {
-	o := limiter.ChooseOwner(key, zone, i.relayer.Self(), i.relayer.Members())
+	o := i.limitOwners.Choose(key, zone, i.relayer.Self(), i.relayer.Members())
 	return o, o.Peer == i.self.Peer
 }
 
--- a/internal/process/limiter/limiter_test.go
+++ b/internal/process/limiter/limiter_test.go
@@ -125,3 +125,23 @@
 	first, second := member(1, "a", detector.Alive, false, true), member(2, "a", detector.Alive, false, true)
 	require.Equal(t, ChooseOwner(run, "a", first, []detector.Member{second}), ChooseOwner(run, "a", second, []detector.Member{first}))
 }
+
+// Guards against an owner of an earlier view.
+func TestOwnersFollowTheView(t *testing.T) {
+	at := func(n byte) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 7000) }
+	member := func(n byte) detector.Member {
+		return detector.Member{Instance: lister.Instance{Peer: at(n), Zone: "a"}}
+	}
+	var owners Owners
+	for _, members := range [][]detector.Member{nil, {member(2)}, {member(2), member(3)}, {member(3), member(4)}, nil} {
+		for k := range 20 {
+			key := fmt.Sprint(k % 10)
+			require.Equal(t, ChooseOwner(key, "a", member(1), members), owners.Choose(key, "a", member(1), members))
+		}
+	}
+	leaving := member(1)
+	leaving.Leaving = true
+	members := []detector.Member{member(2)}
+	owners.Choose(run, "a", member(1), members)
+	require.Equal(t, at(2), owners.Choose(run, "a", leaving, members).Peer)
+}
--- a/internal/process/limiter/owner.go
+++ b/internal/process/limiter/owner.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -37,6 +38,35 @@
 	return o
 }
 
+// Owners holds the owners in one view of the fleet, so that they are chosen once in it. It
+// is safe for concurrent use.
+type Owners struct {
+	mutex   sync.Mutex
+	self    detector.Member
+	members []detector.Member
+	owners  map[string]Owner
+}
+
+// Choose returns ChooseOwner for the view. Members must be a slice that does not change.
+func (o *Owners) Choose(key, zone string, self detector.Member, members []detector.Member) Owner {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.owners == nil || self != o.self || !sameSlice(members, o.members) {
+		o.self, o.members, o.owners = self, members, map[string]Owner{}
+	}
+	owner, known := o.owners[key]
+	if !known {
+		owner = ChooseOwner(key, zone, self, members)
+		o.owners[key] = owner
+	}
+	return owner
+}
+
+// sameSlice reports whether two slices are the same part of the same array.
+func sameSlice(a, b []detector.Member) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // weight returns the rendezvous hash of an instance for a run.
 func weight(peer netip.AddrPort, key string) uint64 {
 	address := peer.Addr().As16()
