--- /dev/null
+++ b/internal/request/placer/reject.go
@@ -0,0 +1,84 @@
+package placer
+
+import (
+	"slices"
+	"time"
+)
+
+// reject rejects a request that cannot be served in time. rank is the number of
+// requests that start before it.
+func (p *Placer) reject(t *Ticket, usable []*targetState, rank int, now time.Time) (Rejection, bool) {
+	rejection := func(r Reason, wait time.Duration) (Rejection, bool) {
+		return Rejection{Ticket: t, RetryAfter: max(p.spread(wait), minRetryAfter), Reason: r}, true
+	}
+	wait := p.expectedWait(rank)
+	last := t.Deadline.Add(-p.shortestWorkTime(t))
+	if len(usable) == 0 {
+		opening, closed := p.firstOpening(t, now)
+		wait = max(wait, opening.Sub(now))
+		switch {
+		case !closed:
+			return rejection(NoTarget, noTargetRetryAfter)
+		case t.Hedge:
+			return rejection(NoFreeSlot, 0)
+		case now.Add(wait).After(last):
+			return rejection(Limited, wait)
+		}
+	}
+	if t.Hedge && t.rounds > 0 && !p.awaitsReport(usable, now) {
+		return rejection(NoFreeSlot, 0)
+	}
+	if now.After(last) {
+		return rejection(DeadlineUnreachable, wait)
+	}
+	if rank >= minRankForForecast && now.Add(wait).After(last) {
+		return rejection(WaitTooLong, wait)
+	}
+	return Rejection{}, false
+}
+
+// firstOpening returns when the first of the targets that are closed by their limits
+// allows a request, and whether there is such a target for the request.
+func (p *Placer) firstOpening(t *Ticket, now time.Time) (opening time.Time, closed bool) {
+	for _, id := range p.ids {
+		s := p.targets[id]
+		if s.isClosed(now) && !slices.Contains(t.Avoid, id) && (!closed || s.closedUntil.Before(opening)) {
+			opening, closed = s.closedUntil, true
+		}
+	}
+	return opening, closed
+}
+
+// spread varies a wait by up to 25 % so that clients do not retry at the same time.
+func (p *Placer) spread(wait time.Duration) time.Duration {
+	return time.Duration((0.75 + 0.5*p.Random()) * float64(wait))
+}
+
+// RetryAfterShed returns how long a client should wait whose request was shed by each
+// target that it was sent to. It answers targets that reject a part of their requests
+// although they report free slots: while no request waits here there is room, and the
+// client may return at once, to another target. Else it returns after the requests that
+// wait now.
+func (p *Placer) RetryAfterShed(now time.Time) time.Duration {
+	p.dropOldStarts(now)
+	if len(p.waiting) == 0 {
+		return p.spread(shedRetryAfter)
+	}
+	return max(p.spread(p.expectedWait(len(p.waiting))), minRetryAfter)
+}
+
+// expectedWait returns how long it takes until a request of the rank starts, at the
+// current rate of starts.
+func (p *Placer) expectedWait(rank int) time.Duration {
+	rate := float64(max(len(p.starts), 1)) / startRateWindow.Seconds()
+	return time.Duration(float64(rank+1) / rate * float64(time.Second))
+}
+
+// dropOldStarts drops the starts that are older than startRateWindow.
+func (p *Placer) dropOldStarts(now time.Time) {
+	old := 0
+	for old < len(p.starts) && now.Sub(p.starts[old]) > startRateWindow {
+		old++
+	}
+	p.starts = slices.Delete(p.starts, 0, old)
+}
