Test cuts at several sizes of the fleet

A third of 4, 16 and 98 instances is cut off while one joins and one starts again; the members see each cut and its end. Half or all of a zone of 16, 98 and 472 instances shares its requests over those that serve: none gets twice the mean.

--- a/internal/process/detector/cutoff_test.go
+++ b/internal/process/detector/cutoff_test.go
@@ -12,7 +12,7 @@
 // Guards against clients that are sent to an instance which reaches no target, and against
 // an instance that stays marked after its cut has ended or its process has started again.
 func TestCutOffIsSeenByAllAndEnds(t *testing.T) {
-	for _, n := range []int{4, 48} {
+	for _, n := range []int{4, 16, 98} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			f := convergedFleet(1, n, "a", "b", "c")
 			seen := func() int {
@@ -31,7 +31,10 @@
 					f.inFlight = append(f.inFlight, inFlightPacket{at: f.now, outgoing: o})
 				}
 			}
-			cut := []*process{f.at(0), f.at(1), f.at(2)}
+			var cut []*process
+			for k := range max(3, n/3) {
+				cut = append(cut, f.at(k))
+			}
 			for _, p := range cut {
 				set(p, true)
 				require.Empty(t, p.SetCutOff(true, f.now), "nothing new to tell")
@@ -39,12 +42,20 @@
 			f.advance(20 * time.Second)
 			require.Equal(t, len(cut)*(n-1), seen())
 
-			set(cut[0], false)
-			set(cut[1], false)
+			// An instance that joins learns it from the others. One that is killed and starts
+			// again is no longer cut off.
+			f.start(n)
 			f.kill(2)
 			f.advance(time.Second)
 			f.start(2)
 			f.advance(40 * time.Second)
+			require.Equal(t, (len(cut)-1)*n, seen())
+			for k, p := range cut {
+				if k != 2 {
+					set(p, false)
+				}
+			}
+			f.advance(40 * time.Second)
 			require.Zero(t, seen())
 		})
 	}
--- a/internal/process/director/director_test.go
+++ b/internal/process/director/director_test.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"math/rand"
 	"net/netip"
 	"testing"
 
@@ -44,3 +45,37 @@
 	}
 	require.Len(t, choose("a", true, many...), maxAddresses)
 }
+
+// Guards against serving instances that are overrun by the requests of those that are cut
+// off from the targets: half of a zone, or all of it.
+func TestServingInstancesShareTheRequestsOfCutOnes(t *testing.T) {
+	random := rand.New(rand.NewSource(1))
+	for _, n := range []int{16, 98, 472} {
+		for _, all := range []bool{false, true} {
+			var members []detector.Member
+			cut, serving := 0, 0
+			for k := range n {
+				m := member(0, []string{"a", "b", "c"}[k%3], detector.Alive, false)
+				m.Instance.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(k >> 8), byte(k)}), 80)
+				if m.CutOff = k%3 == 0 && (all || k%2 == 0); m.CutOff {
+					cut++
+				} else if all || k%3 == 0 {
+					serving++
+				}
+				members = append(members, m)
+			}
+			const requests = 50
+			load := map[netip.AddrPort]int{}
+			for range cut * requests {
+				m := Serving("a", members, random.Intn)[0]
+				require.False(t, m.CutOff)
+				require.True(t, all || m.Instance.Zone == "a", "the own zone serves while it can")
+				load[m.Instance.Address]++
+			}
+			require.Len(t, load, serving)
+			for _, taken := range load {
+				require.Less(t, taken, 2*cut*requests/serving)
+			}
+		}
+	}
+}
