--- a/internal/process/relayer/doc.go
+++ b/internal/process/relayer/doc.go
@@ -13,6 +13,8 @@
 //     execute. Other instances forward the operation to it. The outcome is the
 //     executor's response to the operation.
 //   - Searches for targets with free slots in another place.
+//   - Permits. A permit is the answer of the instance that counts the messages of the
+//     fleet to a target, that one more message may be sent to it.
 //
 // A document is in force at an instance that has adopted it. The documents in force
 // are current if the platform has no newer ones. A reader is the instance that reads
