Relay a request with its route, and reject at once only if all refuse it

Cause: a relayed request was refused by instances with older settings, and one refusal by all that were asked made the instance reject everything for 0.25 s. Only if all that were asked reach no target either are further ones rejected at once for 0.25 s.

--- a/internal/process/composer/relay.go
+++ b/internal/process/composer/relay.go
@@ -13,6 +13,7 @@
 	"oriolecourse.example/oriolecourse/internal/process/director"
 	"oriolecourse.example/oriolecourse/internal/process/forwarder"
 	"oriolecourse.example/oriolecourse/internal/process/relayer"
+	"oriolecourse.example/oriolecourse/internal/version/router"
 )
 
 const (
@@ -38,13 +39,19 @@
 
 // relay sends a request to another instance, which serves it. The next instance is tried
 // only if the one before has certainly not begun.
-func (i *Instance) relay(ctx context.Context, q *acceptor.Request, version uint64) (*acceptor.Response, forwarder.RelayResult) {
+func (i *Instance) relay(ctx context.Context, q *acceptor.Request, r *router.Route) (*acceptor.Response, forwarder.RelayResult) {
+	route, err := r.Encode()
+	if err != nil {
+		_ = level.Error(i.options.Logger).Log("msg", "not relayed", "err", err)
+		return nil, forwarder.RelayUnsent
+	}
 	header := q.Header.Clone()
 	header.Set(hostField, q.Host)
+	result := forwarder.RelayRefused
 	peers := director.Serving(i.self.Zone, i.relayer.Members(), rand.IntN)
 	for _, m := range peers[:min(maxRelayPeers, len(peers))] {
 		o, err := i.relayer.Forward(ctx, m.Instance.Peer, relayer.Operation{
-			Incarnation: m.Incarnation, Method: q.Method, Path: q.RequestURI, Header: header, Body: q.Body, Version: version,
+			Incarnation: m.Incarnation, Method: q.Method, Path: q.RequestURI, Header: header, Body: q.Body, Route: route,
 		})
 		var failure *relayer.ForwardError
 		switch {
@@ -52,20 +59,27 @@
 			return &acceptor.Response{Status: o.Status, Header: o.Header, Body: o.Body}, forwarder.RelayAnswered
 		case err != nil && !(errors.As(err, &failure) && failure.Failure != relayer.Unanswered):
 			return nil, forwarder.RelayUnknown
+		case err != nil:
+			result = forwarder.RelayUnsent
 		}
 		_ = level.Debug(i.options.Logger).Log("msg", "not relayed", "peer", m.Instance.Peer, "err", err)
 	}
-	return nil, forwarder.RelayUnsent
+	return nil, result
 }
 
 // serveRelayed serves a request that another instance has relayed.
 func (i *Instance) serveRelayed(ctx context.Context, o relayer.Operation) relayer.Outcome {
+	route, err := router.DecodeRoute(o.Route)
+	if err != nil {
+		_ = level.Error(i.options.Logger).Log("msg", "relay refused", "err", err)
+		return relayer.Outcome{Status: http.StatusMisdirectedRequest}
+	}
 	q := &acceptor.Request{Arrived: time.Now(), Method: o.Method, RequestURI: o.Path, Header: o.Header, Body: o.Body}
 	if q.Header == nil {
 		q.Header = http.Header{}
 	}
 	q.Host = q.Header.Get(hostField)
 	q.Header.Del(hostField)
-	r := i.forwarder.ServeRelayed(ctx, q, o.Version)
+	r := i.forwarder.ServeRelayed(ctx, q, route)
 	return relayer.Outcome{Status: r.Status, Header: r.Header, Body: r.Body}
 }
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -95,9 +95,9 @@
 	OnCutOff func(cutOff bool, now time.Time)
 	// CanRelay reports whether another instance may serve the requests of this one.
 	CanRelay func() bool
-	// Relay lets another instance serve a request, by settings of the version or a later
-	// one. The response is nil unless the result is RelayAnswered.
-	Relay func(ctx context.Context, q *acceptor.Request, version uint64) (*acceptor.Response, RelayResult)
+	// Relay lets another instance serve a request by a route. The response is nil unless the
+	// result is RelayAnswered.
+	Relay func(ctx context.Context, q *acceptor.Request, route *router.Route) (*acceptor.Response, RelayResult)
 	// CanSearch reports whether an instance in a remote zone can be asked for
 	// targets with free slots.
 	CanSearch func(zone string, now time.Time) bool
--- a/internal/process/forwarder/relay_test.go
+++ b/internal/process/forwarder/relay_test.go
@@ -46,8 +46,8 @@
 		InstanceCount: func() int { return 2 }, CanRelay: func() bool { return true },
 		OnCutOff:   func(cutOff bool, _ time.Time) { f.cutOff = cutOff },
 		LimitOwner: func(string, string) (limiter.Owner, bool) { return limiter.Owner{}, false },
-		Relay: func(_ context.Context, q *acceptor.Request, version uint64) (*acceptor.Response, RelayResult) {
-			require.Equal(t, uint64(5), version)
+		Relay: func(_ context.Context, q *acceptor.Request, route *router.Route) (*acceptor.Response, RelayResult) {
+			require.Equal(t, []router.WeightedService{{Service: "parts", Weight: 1}}, route.Services)
 			f.relayed = append(f.relayed, q)
 			return &acceptor.Response{Status: f.status}, f.result
 		},
@@ -77,8 +77,8 @@
 	require.LessOrEqual(t, left, 500*time.Millisecond)
 	require.Positive(t, left)
 
-	require.Equal(t, http.StatusMisdirectedRequest, f.ServeRelayed(t.Context(), order(time.Now()), 5).Status)
-	require.Equal(t, http.StatusMisdirectedRequest, f.ServeRelayed(t.Context(), order(time.Now()), 6).Status, "its settings are older")
+	route := f.options.Table().Match("h", "/order/1")
+	require.Equal(t, http.StatusMisdirectedRequest, f.ServeRelayed(t.Context(), order(time.Now()), route).Status)
 	require.Len(t, f.relayed, 1)
 }
 
@@ -88,13 +88,18 @@
 	f := newCutFixture(t)
 	f.result = RelayUnknown
 	require.Equal(t, http.StatusBadGateway, f.Serve(t.Context(), order(time.Now())).Status)
-	f.result = RelayUnsent
-	for range 3 {
-		r := f.Serve(t.Context(), order(time.Now()))
-		require.Equal(t, http.StatusServiceUnavailable, r.Status)
-		require.NotEmpty(t, r.Header.Get("Return"))
+	for _, c := range []struct {
+		result RelayResult
+		asked  int
+	}{{RelayUnsent, 3}, {RelayRefused, 1}} {
+		f.result, f.relayed = c.result, nil
+		for range 3 {
+			r := f.Serve(t.Context(), order(time.Now()))
+			require.Equal(t, http.StatusServiceUnavailable, r.Status)
+			require.NotEmpty(t, r.Header.Get("Return"))
+		}
+		require.Len(t, f.relayed, c.asked)
 	}
-	require.Len(t, f.relayed, 2)
 }
 
 // Guards against "not run" for a request that this instance has sent to a target before
--- a/internal/process/forwarder/request.go
+++ b/internal/process/forwarder/request.go
@@ -81,15 +81,8 @@
 // Serve returns the response to one request. The context ends when the client
 // disconnects.
 func (f *Forwarder) Serve(ctx context.Context, q *acceptor.Request) *acceptor.Response {
-	return f.serve(ctx, q, false)
-}
-
-// serve is Serve for a request that another instance may have relayed. Such a request is
-// not relayed again.
-func (f *Forwarder) serve(ctx context.Context, q *acceptor.Request, isRelayed bool) *acceptor.Response {
 	now := q.Arrived
-	id := q.Header.Get(f.options.Dialect.RequestID)
-	logger := log.With(f.options.Logger, "request", id)
+	logger := f.requestLogger(q)
 	table := f.options.Table()
 	if table == nil {
 		return f.finish(logger, "", notReady, now, f.rejection(notReadyRetryAfter))
@@ -100,13 +93,25 @@
 		_ = level.Warn(logger).Log("msg", "no route", "host", q.Host, "path", path, "version", table.Version)
 		return f.finish(logger, "", noRoute, now, &acceptor.Response{Status: http.StatusNotFound})
 	}
+	return f.serveRoute(ctx, q, route, table.Version, false)
+}
+
+func (f *Forwarder) requestLogger(q *acceptor.Request) log.Logger {
+	return log.With(f.options.Logger, "request", q.Header.Get(f.options.Dialect.RequestID))
+}
+
+// serveRoute serves a request by a route of a version of the settings. One that another
+// instance has relayed is not relayed again.
+func (f *Forwarder) serveRoute(ctx context.Context, q *acceptor.Request, route *router.Route, version uint64, isRelayed bool) *acceptor.Response {
+	now, logger := q.Arrived, f.requestLogger(q)
 	timeout, err := f.clientTimeout(q, route)
-	if err != nil || id == "" {
+	if err != nil || q.Header.Get(f.options.Dialect.RequestID) == "" {
+		path, _, _ := strings.Cut(q.RequestURI, "?")
 		_ = level.Warn(logger).Log("msg", "malformed request", "host", q.Host, "path", path, "err", err)
 		return f.finish(logger, "", malformed, now, &acceptor.Response{Status: http.StatusBadRequest})
 	}
 	r := &request{
-		Request: q, forwarder: f, route: route, version: table.Version,
+		Request: q, forwarder: f, route: route, version: version,
 		service:  f.service(f.splitter.Pick(route)),
 		deadline: now.Add(min(timeout, route.Timeout)), logger: logger,
 	}
--- a/internal/process/journaler/lines.go
+++ b/internal/process/journaler/lines.go
@@ -55,6 +55,7 @@
 	{"owner silent", "The instance that counts the messages to a limited target did not answer a request for a permit.", []string{"target", "peer", "err"}},
 	{"cut off from targets", "None of several targets of a service responded on a new connection, and none on another one. Other instances serve the requests.", []string{"service", "asked"}},
 	{"targets back", "A target of the service responded again after a cut.", []string{"service"}},
+	{"relay refused", "A request that another instance relayed has no valid route.", []string{"err"}},
 	{"not relayed", "An instance did not take a request that this one cannot serve itself.", []string{"peer", "err"}},
 	{"probe failed", "A target did not answer a probe, or answered with a status other than 200.", []string{"service", "target", "address", "status", "err"}},
 	{"zone silent", "An instance in a remote zone did not answer a request for targets with free slots.", []string{"zone", "peer", "err"}},
--- a/internal/process/relayer/operation.go
+++ b/internal/process/relayer/operation.go
@@ -19,9 +19,9 @@
 	Path   string
 	Header http.Header
 	Body   []byte
-	// Version is the version of the settings by which the sender handles the request; 0 if
-	// that does not matter.
-	Version uint64
+	// Route is the encoded route by which the sender handles a request that it relays; empty
+	// for an operation.
+	Route []byte
 	// Timeout is the time from sending the operation until its deadline. 0 means no
 	// deadline.
 	Timeout time.Duration
--- a/internal/version/router/table.go
+++ b/internal/version/router/table.go
@@ -41,6 +41,24 @@
 	Services []WeightedService `json:"parts"`
 }
 
+// Encode returns the route in the form that is sent to other instances.
+func (r *Route) Encode() ([]byte, error) {
+	text, err := json.Marshal(r)
+	return text, trace.Wrap(err)
+}
+
+// DecodeRoute parses a route that Encode returned.
+func DecodeRoute(text []byte) (*Route, error) {
+	r := &Route{}
+	if err := json.Unmarshal(text, r); err != nil {
+		return nil, trace.Wrap(err, "the route is not valid JSON")
+	}
+	if len(r.Services) == 0 {
+		return nil, trace.BadParameter("route %q has no service, expected at least one", r.Name)
+	}
+	return r, nil
+}
+
 // Service holds the properties that all targets of a service share.
 type Service struct {
 	Name string `json:"name"`
