admitter: one question for all uses of a target

Change: internal/request/admitter holds the state of each run and answers whether it may take a request, probe, offer or check now, and if not, when. Behaviour is unchanged; the tests of the placer are as they were. Measured: go test -race ./internal/request/... ./internal/process/forwarder passes.

--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"oriolecourse.example/oriolecourse/internal/process/limiter"
 	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
 	"oriolecourse.example/oriolecourse/internal/process/registrar"
+	"oriolecourse.example/oriolecourse/internal/request/admitter"
 	"oriolecourse.example/oriolecourse/internal/request/placer"
 	"oriolecourse.example/oriolecourse/internal/version/router"
 )
@@ -115,6 +116,7 @@
 	quarantiner *quarantiner.Table
 	splitter    *router.Splitter
 	limiter     *limiter.Limiter
+	admitter    *admitter.Admitter
 	counters    counters
 
 	// servicesByAddress holds the service of each target that may get new requests.
@@ -136,6 +138,7 @@
 		quarantiner: quarantiner.New(quarantiner.DefaultLimits),
 		splitter:    router.NewSplitter(rand.IntN),
 		limiter:     limiter.New(),
+		admitter:    admitter.New(),
 		counters:    newCounters(o.Scope),
 		services:    map[string]*service{},
 	}
@@ -168,7 +171,9 @@
 		}
 	}
 	f.setLinks(usable)
-	f.limiter.Retain(func(key string) bool { return listed[key] }, now)
+	isListed := func(key string) bool { return listed[key] }
+	f.limiter.Retain(isListed, now)
+	f.admitter.Retain(isListed, now)
 }
 
 // ReceiveRumor applies the rumor of a peer that a target did not complete its response
--- a/internal/process/forwarder/links.go
+++ b/internal/process/forwarder/links.go
@@ -9,8 +9,8 @@
 
 	"github.com/go-kit/log/level"
 
-	"oriolecourse.example/oriolecourse/internal/process/limiter"
 	"oriolecourse.example/oriolecourse/internal/process/registrar"
+	"oriolecourse.example/oriolecourse/internal/request/admitter"
 	"oriolecourse.example/oriolecourse/internal/request/placer"
 )
 
@@ -115,8 +115,8 @@
 // contactTargets contacts some targets on new connections. If none responds, and none has
 // responded on another connection meanwhile, the instance is cut off from the service.
 func (s *service) contactTargets(targets []placer.Target) {
-	if unlimited := s.unlimited(targets); len(unlimited) > 0 {
-		targets = unlimited
+	if admitted := s.admitted(targets, time.Now()); len(admitted) > 0 {
+		targets = admitted
 	}
 	n := min(checkTargets, len(targets))
 	answers := make(chan bool, n)
@@ -143,10 +143,10 @@
 	}
 }
 
-// unlimited returns the targets that name no limit.
-func (s *service) unlimited(targets []placer.Target) []placer.Target {
+// admitted returns the targets that a check of the links may contact.
+func (s *service) admitted(targets []placer.Target, now time.Time) []placer.Target {
 	return slices.DeleteFunc(slices.Clone(targets), func(t placer.Target) bool {
-		return s.forwarder.limiter.Rate(t.ID) != limiter.Unlimited
+		return !s.forwarder.admitter.Run(t.ID).Admit(admitter.Check, now).Admitted
 	})
 }
 
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -12,7 +12,6 @@
 
 	"oriolecourse.example/oriolecourse/internal/connection/exchanger"
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
-	"oriolecourse.example/oriolecourse/internal/process/limiter"
 	"oriolecourse.example/oriolecourse/internal/process/registrar"
 	"oriolecourse.example/oriolecourse/internal/process/surveyor"
 	"oriolecourse.example/oriolecourse/internal/request/budgeter"
@@ -72,6 +71,7 @@
 	s.retries.Window, s.retries.Rounding = f.budget.Load().RetryWindow, rand.Float64()
 	s.placer = placer.New(f.options.Zone, rand.Float64, s.allowProbes)
 	s.placer.CanSearch = f.options.CanSearch
+	s.placer.Admitter = f.admitter
 	s.placer.NeedsRecheck = s.needsRecheck
 	s.timer = time.AfterFunc(never, s.onTimer)
 	return s
@@ -120,7 +120,6 @@
 	for _, u := range usable {
 		targets = append(targets, placer.Target{
 			ID: u.Key(), Name: u.Name, Address: u.Address, Zone: u.Zone, Slots: u.Slots, WarmupEnd: u.WarmupEnd,
-			Limited: s.forwarder.limiter.Rate(u.Key()) != limiter.Unlimited,
 		})
 	}
 	s.targets.Store(&targets)
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"oriolecourse.example/oriolecourse/internal/request/admitter"
 )
 
 // Timing and limits of the choice.
@@ -89,6 +91,9 @@
 	// AllowProbes grants up to n probes and returns the number granted.
 	AllowProbes func(n int, now time.Time) int
 
+	// Admitter holds the state of the targets' runs that decides whether they may be used.
+	Admitter *admitter.Admitter
+
 	// LocalWait is the share of its slack for which a request waits for a target of its
 	// own zone before remote zones are covered. The slack is the longest wait after which
 	// the request still meets its objective at a slowdown of 1.
@@ -122,7 +127,7 @@
 // New returns a placer without targets.
 func New(zone string, random func() float64, allowProbes func(n int, now time.Time) int) *Placer {
 	return &Placer{
-		Zone: zone, Random: random, AllowProbes: allowProbes, LocalWait: defaultLocalWait,
+		Zone: zone, Random: random, AllowProbes: allowProbes, LocalWait: defaultLocalWait, Admitter: admitter.New(),
 		targets: map[string]*targetState{}, searches: map[string]time.Time{}, workTimes: map[string]time.Duration{},
 	}
 }
@@ -136,12 +141,12 @@
 	for _, t := range targets {
 		s := p.targets[t.ID]
 		if s == nil {
-			s = newTargetState(t, mean)
+			s = newTargetState(t, mean, p.Admitter.Run(t.ID))
 		}
 		if !s.reportsLoad {
 			s.Slots = max(t.Slots, 1)
 		}
-		s.Zone, s.Address, s.Limited = t.Zone, t.Address, t.Limited
+		s.Zone, s.Address = t.Zone, t.Address
 		if s.WarmupEnd.IsZero() || t.WarmupEnd.Before(s.WarmupEnd) {
 			s.WarmupEnd = t.WarmupEnd
 		}
@@ -228,13 +233,11 @@
 
 // SetLimited records whether a target names a limit.
 func (p *Placer) SetLimited(id string, limited bool) {
-	if s := p.targets[id]; s != nil {
-		s.Limited, s.closedUntil = limited, time.Time{}
-	}
+	p.Admitter.Run(id).SetLimited(limited)
 }
 
-// Withhold records that a granted request was not sent, because the target's limit allows
-// no request until the given time.
+// Withhold records that a granted request was not sent, because the target takes no
+// request until the given time.
 func (p *Placer) Withhold(id string, t *Ticket, until time.Time) {
 	s := p.targets[id]
 	if s == nil {
@@ -245,7 +248,7 @@
 			p.starts = slices.Delete(p.starts, k, k+1)
 		}
 	}
-	s.closedUntil = until
+	s.admission.Close(until)
 }
 
 // ReportSlow records that a request takes much longer at a target than expected. It
--- a/internal/request/placer/reject.go
+++ b/internal/request/placer/reject.go
@@ -14,10 +14,10 @@
 	wait := p.expectedWait(rank)
 	last := t.Deadline.Add(-p.shortestWorkTime(t))
 	if len(usable) == 0 {
-		opening, closed := p.firstOpening(t, now)
+		opening, known := p.firstOpening(t, now)
 		wait = max(wait, opening.Sub(now))
 		switch {
-		case !closed:
+		case !known:
 			return rejection(NoTarget, noTargetRetryAfter)
 		case t.Hedge:
 			return rejection(NoFreeSlot, 0)
@@ -37,18 +37,6 @@
 	return Rejection{}, false
 }
 
-// firstOpening returns when the first of the targets that are closed by their limits
-// allows a request, and whether there is such a target for the request.
-func (p *Placer) firstOpening(t *Ticket, now time.Time) (opening time.Time, closed bool) {
-	for _, id := range p.ids {
-		s := p.targets[id]
-		if s.isClosed(now) && !slices.Contains(t.Avoid, id) && (!closed || s.closedUntil.Before(opening)) {
-			opening, closed = s.closedUntil, true
-		}
-	}
-	return opening, closed
-}
-
 // spread varies a wait by up to 25 % so that clients do not retry at the same time.
 func (p *Placer) spread(wait time.Duration) time.Duration {
 	return time.Duration((0.75 + 0.5*p.Random()) * float64(wait))
--- a/internal/request/placer/remote.go
+++ b/internal/request/placer/remote.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"oriolecourse.example/oriolecourse/internal/request/admitter"
 )
 
 const (
@@ -38,7 +40,7 @@
 	}
 	var free []*targetState
 	for _, s := range p.usable(&Ticket{}, now) {
-		if p.isLocal(s) && !s.Limited && s.reportsLoad && s.fresh(now, freshReportAge) && s.hasFreeSlot(now) && s.slowdown(now) <= slowdown {
+		if p.isLocal(s) && s.admission.Admit(admitter.Offer, now).Admitted && s.reportsLoad && s.fresh(now, freshReportAge) && s.hasFreeSlot(now) && s.slowdown(now) <= slowdown {
 			free = append(free, s)
 		}
 	}
--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"oriolecourse.example/oriolecourse/internal/request/admitter"
 )
 
 // Step starts and rejects the requests that can be decided now, and begins a round
@@ -116,7 +118,7 @@
 			free = append(free, s)
 		}
 	}
-	free = p.preferUnlimited(t, free, usable, now)
+	free = p.prefer(t, free, usable, now)
 	least := math.Inf(1)
 	for _, s := range free {
 		least = min(least, s.slowdown(now))
@@ -132,41 +134,6 @@
 	return s, s.slowdown(now)
 }
 
-// preferUnlimited removes the limited targets from the free ones if another one is free or
-// may still report a free slot. If a limited target needs a recheck, it returns only such
-// targets.
-func (p *Placer) preferUnlimited(t *Ticket, free, usable []*targetState, now time.Time) []*targetState {
-	limited := func(s *targetState) bool { return s.Limited }
-	if !slices.ContainsFunc(free, limited) {
-		return free
-	}
-	var rechecked []*targetState
-	for _, s := range free {
-		if s.Limited && p.isRechecked(t, s, now) {
-			rechecked = append(rechecked, s)
-		}
-	}
-	if len(rechecked) > 0 {
-		return rechecked
-	}
-	unlimited := func(s *targetState) bool { return !s.Limited }
-	mayFindRoom := slices.ContainsFunc(free, unlimited) || t.rounds == 0 || p.awaitsReport(usable, now)
-	if slices.ContainsFunc(usable, unlimited) && mayFindRoom {
-		return slices.DeleteFunc(free, limited)
-	}
-	return free
-}
-
-// isRechecked reports whether a request goes to a limited target to learn whether its limit
-// has ended. That must cost the request nothing.
-func (p *Placer) isRechecked(t *Ticket, s *targetState, now time.Time) bool {
-	if t.Hedge || t.NonIdempotent || p.NeedsRecheck == nil || s.slowdown(now) > maxSlowdownPastObjective {
-		return false
-	}
-	expected := time.Duration(s.slowdown(now) * float64(p.workTime(t)))
-	return !now.Add(expected).After(t.ObjectiveTime) && p.NeedsRecheck(s.Target, now)
-}
-
 // isLocal reports whether a target is in the zone of this instance.
 func (p *Placer) isLocal(s *targetState) bool { return s.Zone == p.Zone }
 
@@ -177,14 +144,14 @@
 }
 
 // usable returns the targets that a request may be sent to. It excludes targets that
-// the request was sent to, targets whose limit allows no request now, and avoided targets unless most targets are avoided. For
-// a non-idempotent request it also excludes targets with a recent failure, unless
-// most targets have one or are avoided.
+// the request was sent to, targets that take no request now, and avoided targets unless
+// most targets are avoided. For a non-idempotent request it also excludes targets with a
+// recent failure, unless most targets have one or are avoided.
 func (p *Placer) usable(t *Ticket, now time.Time) []*targetState {
 	var all, good, safe []*targetState
 	for _, id := range p.ids {
 		s := p.targets[id]
-		if slices.Contains(t.Avoid, id) || s.isClosed(now) {
+		if slices.Contains(t.Avoid, id) || !s.admission.Admit(admitter.Request, now).Admitted {
 			continue
 		}
 		all = append(all, s)
@@ -274,7 +241,7 @@
 func (p *Placer) probeCandidates(t *Ticket, now time.Time) (local, remote []*targetState) {
 	for _, s := range p.usable(t, now) {
 		switch {
-		case s.Limited || s.answeredWithoutLoad || len(s.running) >= s.Slots || !s.probeSent.IsZero() && now.Sub(s.probeSent) < probeTimeout:
+		case !s.admission.Admit(admitter.Probe, now).Admitted || s.answeredWithoutLoad || len(s.running) >= s.Slots || !s.probeSent.IsZero() && now.Sub(s.probeSent) < probeTimeout:
 		case s.fresh(now, freshReportAge) && !s.hasFreeSlot(now):
 		case p.isLocal(s):
 			local = append(local, s)
--- a/internal/request/placer/target.go
+++ b/internal/request/placer/target.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"oriolecourse.example/oriolecourse/internal/request/admitter"
 )
 
 // Target is a target of the service. Each run of its process is another Target.
@@ -17,9 +19,6 @@
 	Slots int
 	// WarmupEnd is when the target's slow period after its start ends.
 	WarmupEnd time.Time
-	// Limited means that the target names a limit on the messages that it takes from all
-	// instances. It is not probed, and gets requests if no other target has a free slot.
-	Limited bool
 }
 
 // Load is the load that a target reports.
@@ -109,16 +108,15 @@
 	// it was avoided last.
 	avoidUntil time.Time
 	avoidTime  time.Duration
-	// closedUntil is when the target's limit allows the next request; zero if that is not
-	// known to be in the future.
-	closedUntil time.Time
+	// admission says whether the target may be used now.
+	admission *admitter.Run
 	// ownSlowdown is the target's work time divided by the usual work time, after the
 	// reported slowdown and the assumed ones for saturation and warmup are divided out.
 	ownSlowdown float64
 }
 
-func newTargetState(t Target, ownSlowdown float64) *targetState {
-	return &targetState{Target: t, running: map[*Ticket]time.Time{}, ownSlowdown: ownSlowdown}
+func newTargetState(t Target, ownSlowdown float64, r *admitter.Run) *targetState {
+	return &targetState{Target: t, admission: r, running: map[*Ticket]time.Time{}, ownSlowdown: ownSlowdown}
 }
 
 // activeRequests estimates the number of requests of all instances at the target
@@ -140,14 +138,11 @@
 // hasFreeSlot reports whether a request would start at once.
 func (s *targetState) hasFreeSlot(now time.Time) bool { return s.activeRequests(now) < s.Slots }
 
-// isClosed reports whether the target's limit allows no request now.
-func (s *targetState) isClosed(now time.Time) bool { return s.Limited && now.Before(s.closedUntil) }
-
 // fresh reports whether the last report is at most the given age. A target that
-// answers probes without reporting load counts as fresh, and so does a limited one,
-// which is not probed.
+// answers probes without reporting load counts as fresh, and so does one that is not
+// probed.
 func (s *targetState) fresh(now time.Time, age time.Duration) bool {
-	return s.Limited || s.answeredWithoutLoad || s.reportsLoad && now.Sub(s.reportedAt) <= age
+	return s.answeredWithoutLoad || !s.admission.Admit(admitter.Probe, now).Admitted || s.reportsLoad && now.Sub(s.reportedAt) <= age
 }
 
 // slowdown returns the expected slowdown of a request that starts now.
