Warm-up: the settings of a service, and every source of a run's warm-up

Cause: the registrar knew a run's warm-up from its first listing only, the placer took only an earlier end, and `warmup` and `warmupPerS` of a service were not read.

The registrar moves the end of a warm-up when the time in an entry rises, and by RecordWarmup when the run itself says so. The placer takes the end as the registrar gives it.

--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -51,7 +51,8 @@
 type entry struct {
 	run   Run
 	state State
-	// warmupEnd is when the run reaches its usual speed.
+	// warmupEnd is when the run reaches its usual speed. It is not before the run was first
+	// listed.
 	warmupEnd time.Time
 	// goneAt is the time by which a Missing run must be listed again, and for a Gone run
 	// the time at which it became Gone. It has no meaning in the other states.
@@ -106,6 +107,9 @@
 		r.entries[run.Key()] = e
 		r.notify(Change{Run: run, State: state, Previous: Gone, New: true, Cause: "list"})
 	}
+	if run.WarmupLeft > e.run.WarmupLeft {
+		e.extendWarmup(now.Add(run.WarmupLeft))
+	}
 	e.listed = true
 	e.run = run
 	if run.Leaving && e.leavingSince.IsZero() {
--- /dev/null
+++ b/internal/process/registrar/warmup.go
@@ -0,0 +1,35 @@
+package registrar
+
+import "time"
+
+// warmupTolerance is the change of a warm-up's end that counts as none. The time that a
+// run states is old by the way of its response.
+const warmupTolerance = 100 * time.Millisecond
+
+// extendWarmup moves the end of the warm-up to a time, unless it is later already.
+func (e *entry) extendWarmup(end time.Time) {
+	if end.After(e.warmupEnd) {
+		e.warmupEnd = end
+	}
+}
+
+// RecordWarmup records how long a run says that it stays cold; 0 means that it is warm. It
+// reports whether the end of the run's warm-up has moved by warmupTolerance or more. A run
+// that is not known is ignored.
+func (r *Registrar) RecordWarmup(key string, left time.Duration, now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	e := r.entries[key]
+	if e == nil {
+		return false
+	}
+	end, before := now.Add(max(left, 0)), e.warmupEnd
+	if before.Before(now) {
+		before = now
+	}
+	if end.Sub(before).Abs() < warmupTolerance {
+		return false
+	}
+	e.warmupEnd = end
+	return true
+}
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -141,10 +141,7 @@
 		if !s.reportsLoad {
 			s.Slots = max(t.Slots, 1)
 		}
-		s.Zone, s.Address, s.Limited = t.Zone, t.Address, t.Limited
-		if s.WarmupEnd.IsZero() || t.WarmupEnd.Before(s.WarmupEnd) {
-			s.WarmupEnd = t.WarmupEnd
-		}
+		s.Zone, s.Address, s.Limited, s.WarmupEnd = t.Zone, t.Address, t.Limited, t.WarmupEnd
 		next[t.ID] = s
 		p.ids = append(p.ids, t.ID)
 	}
--- a/internal/version/router/table.go
+++ b/internal/version/router/table.go
@@ -67,6 +67,11 @@
 	// MaxConnections is the number of connections that one target accepts from the
 	// whole fleet.
 	MaxConnections int `json:"connections"`
+	// Warmup is the slow period of a target after it has become cold; 0 if none is known.
+	Warmup time.Duration `json:"warmup,omitzero"`
+	// WarmupRate is the number of requests per second that a cold target takes from all
+	// instances together; 0 means no bound.
+	WarmupRate float64 `json:"rate,omitzero"`
 }
 
 // Limits are the bounds on the size and the time of client requests.
@@ -120,7 +125,11 @@
 	}
 	t.services = make(map[string]*Service, len(t.Services))
 	for i := range t.Services {
-		t.services[t.Services[i].Name] = &t.Services[i]
+		s := &t.Services[i]
+		if s.Warmup < 0 || s.WarmupRate < 0 {
+			return trace.BadParameter("service %q has the warm-up %s at %v requests per second; expected 0 or more of both", s.Name, s.Warmup, s.WarmupRate)
+		}
+		t.services[s.Name] = s
 	}
 	t.hosts = map[string][]*Route{}
 	for i := range t.Routes {
