--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -146,10 +146,7 @@
 		if !s.reportsLoad {
 			s.Slots = max(t.Slots, 1)
 		}
-		s.Zone, s.Address = t.Zone, t.Address
-		if s.WarmupEnd.IsZero() || t.WarmupEnd.Before(s.WarmupEnd) {
-			s.WarmupEnd = t.WarmupEnd
-		}
+		s.Zone, s.Address, s.WarmupEnd = t.Zone, t.Address, t.WarmupEnd
 		next[t.ID] = s
 		p.ids = append(p.ids, t.ID)
 	}
