exchanger: bound the head and the skipped parts of a response

A header line without end was read until the process was killed, and the body of a response without end was drained on closing, after its limit had already been exceeded: 1.8 GB in 5 s on one connection. The head is now read by the code that bounds the head of a request, which moves to the package scanner; it counts empty lines before the start line too. Bodies are framed by the exchanger, so nothing is drained. A response to another request is skipped only up to 1 MiB.

--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"oriolecourse.example/oriolecourse/internal/connection/scanner"
 )
 
 // exchange is one request of a connection and its future response.
@@ -209,7 +211,7 @@
 func (c *conn) classifyReadError(err error) error {
 	var opErr *net.OpError
 	switch {
-	case errors.Is(err, errHeaderTooLong):
+	case errors.Is(err, scanner.ErrTooLong):
 		return &requestError{http.StatusRequestHeaderFieldsTooLarge, err}
 	case isTimeout(err):
 		return &requestError{http.StatusRequestTimeout, err}
--- a/internal/connection/acceptor/reader.go
+++ b/internal/connection/acceptor/reader.go
@@ -5,44 +5,19 @@
 	"bytes"
 	"io"
 	"net/http"
-	"net/http/httputil"
 	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
 	"golang.org/x/net/http/httpguts"
-)
 
-// errHeaderTooLong is returned for a header or trailer that exceeds its limit.
-var errHeaderTooLong = trace.LimitExceeded("the header or trailer of the request exceeds its size limit")
+	"oriolecourse.example/oriolecourse/internal/connection/scanner"
+)
 
-// readHead reads the head of a request: the request line and the header, up to the
-// empty line.
+// readHead reads the head of a request. Empty lines before it are skipped (RFC 9112, 2.2).
 func readHead(r *bufio.Reader, maxBytes int) ([]byte, error) {
-	var head []byte
-	lineStart := 0
-	for {
-		part, err := r.ReadSlice('\n')
-		if head = append(head, part...); len(head) > maxBytes {
-			return nil, errHeaderTooLong
-		}
-		if err == bufio.ErrBufferFull {
-			continue
-		}
-		if err != nil {
-			return nil, err
-		}
-		line := bytes.TrimRight(head[lineStart:], "\r\n")
-		lineStart = len(head)
-		if len(line) > 0 {
-			continue
-		}
-		if len(bytes.TrimSpace(head)) > 0 {
-			return head, nil
-		}
-		// Empty lines before a request are skipped (RFC 9112, 2.2).
-		head, lineStart = head[:0], 0
-	}
+	head, err := scanner.ReadHead(r, maxBytes)
+	return bytes.TrimLeft(head, "\r\n"), err
 }
 
 // parseHead parses a head. It refuses a request with both Content-Length and
@@ -74,28 +49,7 @@
 	if len(h.TransferEncoding) == 0 {
 		return io.LimitReader(r, h.ContentLength)
 	}
-	return io.MultiReader(httputil.NewChunkedReader(r), &trailerReader{r})
-}
-
-// maxTrailerBytes bounds the trailer of a body. Trailers are not passed on.
-const maxTrailerBytes = 4 << 10
-
-// trailerReader reads and discards the trailer after the last chunk.
-type trailerReader struct{ reader *bufio.Reader }
-
-// Read implements io.Reader.
-func (t *trailerReader) Read([]byte) (int, error) {
-	for remaining := maxTrailerBytes; remaining > 0; {
-		line, err := t.reader.ReadSlice('\n')
-		if err != nil {
-			return 0, err
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return 0, io.EOF
-		}
-		remaining -= len(line)
-	}
-	return 0, errHeaderTooLong
+	return scanner.NewChunkedReader(r)
 }
 
 // deadlineReader sets a new read deadline before each read of a body.
--- /dev/null
+++ b/internal/connection/exchanger/body.go
@@ -0,0 +1,104 @@
+package exchanger
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+
+	"github.com/gravitational/trace"
+
+	"oriolecourse.example/oriolecourse/internal/connection/scanner"
+)
+
+const (
+	// maxHeadBytes bounds the head of a response. It is several times what common servers
+	// and proxies allow for a header.
+	maxHeadBytes = 64 << 10
+	// maxSkippedBytes bounds the body of a response to another request, which is read only
+	// to find the next response.
+	maxSkippedBytes = 1 << 20
+)
+
+// errTooLarge is returned for a body that exceeds its limit.
+var errTooLarge = trace.LimitExceeded("the body of the target's response exceeds its size limit")
+
+// readHead reads the head of one response.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	head, err := scanner.ReadHead(c.reader, maxHeadBytes)
+	if err != nil {
+		return nil, trace.Wrap(err, "the head of the target's response is incomplete or too long")
+	}
+	parsed, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), &http.Request{Method: method})
+	return parsed, trace.Wrap(err, "the target's response is not valid HTTP")
+}
+
+// hasBody reports whether a body follows the head of a response.
+func hasBody(parsed *http.Response, method string) bool {
+	return method != http.MethodHead && parsed.StatusCode >= http.StatusOK &&
+		parsed.StatusCode != http.StatusNoContent && parsed.StatusCode != http.StatusNotModified
+}
+
+// newBody returns a reader of the body that follows the head of a response, and the
+// length of the body or -1 if it is unknown. A body with neither Content-Length nor
+// chunked encoding ends when the target closes the connection.
+func (c *conn) newBody(parsed *http.Response, method string) (body io.Reader, length int64) {
+	switch {
+	case !hasBody(parsed, method):
+		return http.NoBody, 0
+	case len(parsed.TransferEncoding) > 0:
+		return scanner.NewChunkedReader(c.reader), -1
+	case parsed.ContentLength >= 0:
+		return &exactReader{c.reader, parsed.ContentLength}, parsed.ContentLength
+	}
+	return c.reader, -1
+}
+
+// exactReader reads a body of a known length. A body that ends early is an error.
+type exactReader struct {
+	reader io.Reader
+	left   int64
+}
+
+// Read implements io.Reader.
+func (r *exactReader) Read(p []byte) (int, error) {
+	if r.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := r.reader.Read(p[:min(int64(len(p)), r.left)])
+	r.left -= int64(n)
+	if err == io.EOF && r.left > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// readBody reads a body of at most maxBytes. The length is -1 if it is unknown.
+func readBody(body io.Reader, length, maxBytes int64) ([]byte, error) {
+	if length > maxBytes {
+		return nil, errTooLarge
+	}
+	content, err := io.ReadAll(io.LimitReader(body, maxBytes+1))
+	if err != nil {
+		return nil, trace.Wrap(err, "the body of the target's response is incomplete")
+	}
+	if int64(len(content)) > maxBytes {
+		return nil, errTooLarge
+	}
+	return content, nil
+}
+
+// skipBody reads and discards the body of a response to another request.
+func skipBody(body io.Reader, length int64) error {
+	if length > maxSkippedBytes {
+		return errTooLarge
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes+1))
+	if err != nil {
+		return trace.Wrap(err, "the body of a response to another request is incomplete")
+	}
+	if n > maxSkippedBytes {
+		return errTooLarge
+	}
+	return nil
+}
--- a/internal/connection/exchanger/conn.go
+++ b/internal/connection/exchanger/conn.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -191,17 +190,28 @@
 func (c *conn) readMatchingResponse(q *Request) (*sender.Response, bool, error) {
 	matched := true
 	for range maxResponses {
-		parsed, response, err := c.readResponse(q)
+		parsed, err := c.readHead(q.Method)
 		if err != nil {
 			return nil, false, err
 		}
 		if parsed.StatusCode < http.StatusOK {
 			continue
 		}
-		if c.isMismatched(q, response) {
+		body, length := c.newBody(parsed, q.Method)
+		if c.isMismatched(q, parsed.Header) {
+			if err := skipBody(body, length); err != nil {
+				return nil, false, err
+			}
 			matched = false
 			continue
 		}
+		content, err := readBody(body, length, maxResponseBytes)
+		if err != nil {
+			return nil, false, err
+		}
+		c.updateExpiry(parsed.Header, time.Now())
+		acceptor.StripHopByHop(parsed.Header)
+		response := &sender.Response{Status: parsed.StatusCode, Header: parsed.Header, Body: content}
 		if !matched || parsed.Close || c.reader.Buffered() > 0 {
 			return response, false, nil
 		}
@@ -214,35 +224,14 @@
 // isMismatched reports whether a response belongs to another request. A response
 // that does not repeat the identifier is trusted if the connection has carried no
 // other request or if the request is idempotent.
-func (c *conn) isMismatched(q *Request, response *sender.Response) bool {
-	got, sent := response.Header.Get(q.IDHeader), q.Header.Get(q.IDHeader)
+func (c *conn) isMismatched(q *Request, h http.Header) bool {
+	got, sent := h.Get(q.IDHeader), q.Header.Get(q.IDHeader)
 	if got == "" && sent != "" {
 		return !c.unused && q.NonIdempotent
 	}
 	return got != sent
 }
 
-// readResponse reads one complete response. A response with neither Content-Length
-// nor chunked encoding counts as complete when the target closes the connection,
-// although it may be truncated.
-func (c *conn) readResponse(q *Request) (*http.Response, *sender.Response, error) {
-	parsed, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method})
-	if err != nil {
-		return nil, nil, trace.Wrap(err, "the target's response is not valid HTTP or is incomplete")
-	}
-	defer parsed.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(parsed.Body, maxResponseBytes+1))
-	if err != nil {
-		return nil, nil, trace.Wrap(err, "the body of the target's response is incomplete")
-	}
-	if len(body) > maxResponseBytes {
-		return nil, nil, trace.LimitExceeded("the body of the target's response is larger than %d bytes", maxResponseBytes)
-	}
-	c.updateExpiry(parsed.Header, time.Now())
-	acceptor.StripHopByHop(parsed.Header)
-	return parsed, &sender.Response{Status: parsed.StatusCode, Header: parsed.Header, Body: body}, nil
-}
-
 // updateExpiry sets how long the connection may stay idle, from the Keep-Alive
 // header of a response.
 func (c *conn) updateExpiry(h http.Header, now time.Time) {
--- /dev/null
+++ b/internal/connection/scanner/doc.go
@@ -0,0 +1,6 @@
+// Package scanner reads the heads and chunked bodies of HTTP/1 messages within a
+// bound.
+//
+// The readers of net/http buffer a header of any length. A peer that sends bytes
+// without end would fill the memory of the process.
+package scanner
