--- a/internal/process/journaler/lines.go
+++ b/internal/process/journaler/lines.go
@@ -31,6 +31,7 @@
 
 	{"settings in force", "A version of the operators' configuration came into force.", []string{"version", "routes", "services"}},
 	{"configuration refused", "The operators' configuration cannot be used; the last valid one stays in force.", []string{"revision", "err"}},
+	{"unknown route type", "A route of the configuration has a type that is not known; its requests are sent at most once.", []string{"route", "type", "version"}},
 	{"document rejected", "A document from the platform or from a peer has faults.", []string{"version", "err"}},
 	{"document not pulled", "A document that a peer holds could not be fetched.", []string{"kind", "peer", "err"}},
 	{"targets listed", "A revision of the target list came into force.", []string{"version", "runs", "unsettled"}},
@@ -83,6 +84,7 @@
 	{"abroad", "whether the target is in a remote availability zone"},
 	{"attempt", "number of the attempt at a target, starting at 1"},
 	{"version", "version and digest of the document that came into force or was rejected; for a request, version of the configuration that was used to route it"},
+	{"type", "type of the route as the configuration names it"},
 	{"reason", "why no target was chosen: targetless (no run of the service is listed or all are leaving, or the request was already tried at all of them), overdue (no start can meet the deadline), crowded (the requests ahead take longer to start than the request can wait), roomless (no target has a free slot for a hedge), limited (the targets that are left take no further request in time, by the limits that they name), cut (the instance can reach no target)"},
 	{"extra", "whether the target was for a hedge of a request that already runs at another target"},
 	{"return", "how long the client is asked to wait before it retries"},
