Test of idle connections: wait for the late bytes instead of sleeping

On a machine at a load of 37, TestIdleConnectionWithBytesIsNotUsed failed once: the goroutine that writes the late response after 20 ms ran after the 60 ms for which the test waits, so the next request found the connection without bytes. The test now writes the late response when the connection is idle and sends the next request after it is written. It checks the same. go test -race -count=30 -run TestIdleConnectionWithBytesIsNotUsed: passed.

--- a/internal/connection/exchanger/exchanger_test.go
+++ b/internal/connection/exchanger/exchanger_test.go
@@ -207,9 +207,10 @@
 // TestIdleConnectionWithBytesIsNotUsed guards against a late response that is taken
 // for the response to the next request: it arrives while the connection is idle.
 func TestIdleConnectionWithBytesIsNotUsed(t *testing.T) {
+	idle, late := make(chan struct{}), make(chan struct{})
 	p := startTarget(t, func(c net.Conn, id string, _ int) bool {
 		_, _ = io.WriteString(c, completeResponse(id, "abc"))
-		go func() { time.Sleep(20 * time.Millisecond); _, _ = io.WriteString(c, completeResponse("late", "late")) }()
+		go func() { <-idle; _, _ = io.WriteString(c, completeResponse("late", "late")); late <- struct{}{} }()
 		return true
 	})
 	x := New()
@@ -217,7 +218,8 @@
 		response, _, err := send(x, p, fmt.Sprint(k), true)
 		require.NoError(t, err)
 		require.Equal(t, "abc", string(response.Body))
-		time.Sleep(60 * time.Millisecond)
+		idle <- struct{}{}
+		<-late
 	}
 	require.EqualValues(t, 3, p.opened.Load())
 }
