Statements of targets: one path for limit, leaving, pause and warm-up

Cause: of what a target says of itself only its limit was read. A target whose responses say that it leaves kept getting requests until the platform's list said so, and one that turned a request away with Retry-After kept getting requests and probes. Change: Dialect.Statement reads a response into a typed statement; service.observe hands it to the part that decides: the registrar (leaving, warm-up), the admitter (pause), the limiter (limit). A paused target admits nothing of this instance until its time has passed, links checked included; the admitter is asked again right before a request is sent. The time of return in a rejection is never before the first target opens. The updates of the targets are ordered, so that an older state of the registrar does not bring back a leaving run. Ruled out: telling other instances of a pause, which is for this instance only.

--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -121,10 +122,13 @@
 	tables    *adopter.Adopter[router.Table]
 	lists     *adopter.Adopter[registrar.List]
 	registrar *registrar.Registrar
-	forwarder *forwarder.Forwarder
-	relayer   *relayer.Relayer
-	syncer    *syncer.Syncer
-	seeker    *seeker.Seeker
+	// targetsMutex orders the updates of the forwarder's targets, so that an older state of
+	// the registrar never replaces a newer one.
+	targetsMutex sync.Mutex
+	forwarder    *forwarder.Forwarder
+	relayer      *relayer.Relayer
+	syncer       *syncer.Syncer
+	seeker       *seeker.Seeker
 	// limitOwners holds the owners of the targets that name limits.
 	limitOwners limiter.Owners
 	acceptor    *acceptor.Acceptor
@@ -153,7 +157,8 @@
 	i.forwarder = forwarder.New(forwarder.Options{
 		Dialect: o.Dialect, Zone: o.Zone, LocalAddress: o.TargetsFrom, Budget: o.Budget,
 		Table: i.tables.Current, InstanceCount: func() int { return int(i.instanceCount.Load()) },
-		SpreadRumor: i.spreadRumor, OnTargetReplaced: i.targetReplaced, CanSearch: i.canSearch, Search: i.search,
+		SpreadRumor: i.spreadRumor, OnTargetReplaced: i.targetReplaced,
+		OnTargetLeaving: i.targetLeaving, OnTargetWarmup: i.targetWarmup, CanSearch: i.canSearch, Search: i.search,
 		LimitOwner: i.limitOwner, AskPermit: i.askPermit, SpreadLimit: i.spreadLimit,
 		OnCutOff: i.cutOffChanged, CanRelay: i.canRelay, Relay: i.relay,
 		Logger: o.Logger, Scope: o.Scope,
--- a/internal/process/composer/documents.go
+++ b/internal/process/composer/documents.go
@@ -96,6 +96,8 @@
 
 // updateTargets passes the runs that the registrar considers usable to the forwarder.
 func (i *Instance) updateTargets(now time.Time) {
+	i.targetsMutex.Lock()
+	defer i.targetsMutex.Unlock()
 	i.forwarder.SetTargets(i.registrar.Usable(), now)
 }
 
--- a/internal/process/composer/peers.go
+++ b/internal/process/composer/peers.go
@@ -67,6 +67,26 @@
 	i.relayer.Spread(relayer.Rumor{Topic: relayer.Draining, Start: key}, now)
 }
 
+// targetLeaving marks a run as leaving because it said so itself, and tells the other
+// instances.
+func (i *Instance) targetLeaving(key string, now time.Time) {
+	if !i.registrar.MarkLeaving(key, "it said so in a response", now) {
+		return
+	}
+	i.updateTargets(now)
+	i.relayer.Spread(relayer.Rumor{Topic: relayer.Draining, Start: key}, now)
+}
+
+// targetWarmup records how long a run says that it stays cold, and reports whether that is
+// news.
+func (i *Instance) targetWarmup(_, key string, left time.Duration, now time.Time) bool {
+	if !i.registrar.RecordWarmup(key, left, now) {
+		return false
+	}
+	i.updateTargets(now)
+	return true
+}
+
 // receiveRumor applies a rumor of another instance.
 func (i *Instance) receiveRumor(r relayer.Rumor, now time.Time) {
 	switch r.Topic {
--- a/internal/process/forwarder/counters.go
+++ b/internal/process/forwarder/counters.go
@@ -56,6 +56,11 @@
 	c.scope.Tagged(map[string]string{"service": service, "purpose": purpose}).Counter("limited_answers").Inc(1)
 }
 
+// countStatement counts a response in which a target says something of itself.
+func (c *counters) countStatement(service, kind string) {
+	c.scope.Tagged(map[string]string{"service": service, "kind": kind}).Counter("statements").Inc(1)
+}
+
 // countPermit counts a request for a permit to send to a limited target.
 func (c *counters) countPermit(service string, granted bool) {
 	result := "withheld"
--- a/internal/process/forwarder/execution.go
+++ b/internal/process/forwarder/execution.go
@@ -153,6 +153,10 @@
 			return
 		}
 		response, effect, err := e.forwarder.exchanger.Send(e.ctx, g.Target.Address, q)
+		// Another run responds with status 421.
+		if err == nil && response.Status != http.StatusMisdirectedRequest {
+			e.service.observe(g.Target, response, forRequest, time.Now())
+		}
 		e.results <- result{grant: g, sent: now, response: response, effect: effect, err: err}
 	}()
 }
@@ -266,9 +270,6 @@
 			load = &l
 		}
 		f.quarantiner.RecordResponse(run, r.sent, now)
-		if r.response.Status != http.StatusMisdirectedRequest {
-			e.service.observeLimit(r.grant.Target, r.response, forRequest, now)
-		}
 	}
 	switch {
 	case r.effect == sender.NotExecuted:
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -44,10 +44,8 @@
 	TargetName func(h http.Header) string
 	// Load returns the load that a response reports, and whether it reports one.
 	Load func(h http.Header) (placer.Load, bool)
-	// Limit returns the requests per second that a target takes from all instances
-	// together, as its response names them. It is limiter.Unlimited if the response names
-	// no limit.
-	Limit func(h http.Header) float64
+	// Statement returns what a target says of itself in a response.
+	Statement func(r *sender.Response) Statement
 }
 
 // Budget bounds the load that the whole fleet adds to the requests of clients.
@@ -61,6 +59,9 @@
 	RetryWindow    time.Duration
 	// ProbeRate is the greatest number of probes per target and second.
 	ProbeRate float64
+	// A cold target gets at most WarmupOvershoot times the WarmupRate of its service, plus
+	// WarmupSlack, requests in any second. If WarmupOvershoot is 0, there is no bound.
+	WarmupOvershoot, WarmupSlack float64
 }
 
 // Options configures a forwarder.
@@ -84,6 +85,11 @@
 	// OnTargetReplaced is called when a target with another name responds at the
 	// address of a run. The key identifies the run.
 	OnTargetReplaced func(key string, now time.Time)
+	// OnTargetLeaving is called when a response of a run says that it takes no new requests.
+	OnTargetLeaving func(key string, now time.Time)
+	// OnTargetWarmup is called when a health response of a run says how long it stays cold.
+	// It reports whether that is news.
+	OnTargetWarmup func(service, key string, left time.Duration, now time.Time) bool
 	// LimitOwner returns the owner of a run in a zone and whether it is this instance. The
 	// owner counts the messages of all instances to the run if the run names a limit.
 	LimitOwner func(key, zone string) (o limiter.Owner, own bool)
@@ -117,6 +123,7 @@
 	splitter    *router.Splitter
 	limiter     *limiter.Limiter
 	admitter    *admitter.Admitter
+	misread     misread
 	counters    counters
 
 	// servicesByAddress holds the service of each target that may get new requests.
@@ -173,6 +180,7 @@
 	f.setLinks(usable)
 	isListed := func(key string) bool { return listed[key] }
 	f.limiter.Retain(isListed, now)
+	f.misread.retain(isListed)
 	f.admitter.Retain(isListed, now)
 }
 
@@ -224,5 +232,8 @@
 // LimitedTargets returns the number of runs that name a limit.
 func (f *Forwarder) LimitedTargets() int { return f.limiter.Count() }
 
+// RestrictedTargets returns the number of runs that are paused and of those that are cold.
+func (f *Forwarder) RestrictedTargets(now time.Time) (paused, cold int) { return f.admitter.Count(now) }
+
 // Connections returns the number of open connections to targets.
 func (f *Forwarder) Connections() int { return f.exchanger.OpenConnections() }
--- a/internal/process/forwarder/limits.go
+++ b/internal/process/forwarder/limits.go
@@ -6,8 +6,8 @@
 
 	"github.com/go-kit/log/level"
 
-	"oriolecourse.example/oriolecourse/internal/connection/sender"
 	"oriolecourse.example/oriolecourse/internal/process/limiter"
+	"oriolecourse.example/oriolecourse/internal/request/admitter"
 	"oriolecourse.example/oriolecourse/internal/request/placer"
 )
 
@@ -21,11 +21,14 @@
 // decides at once.
 const permitTimeout = 50 * time.Millisecond
 
+// minWithheld is the shortest time for which a request that was not sent is kept from its
+// target.
+const minWithheld = time.Millisecond
+
 // observeLimit records the limit that a response of a target names. The response to a
 // probe need not name it: without a limit, it says nothing.
-func (s *service) observeLimit(t placer.Target, r *sender.Response, purpose string, now time.Time) {
+func (s *service) observeLimit(t placer.Target, rate float64, purpose string, now time.Time) {
 	f := s.forwarder
-	rate := f.options.Dialect.Limit(r.Header)
 	if rate != limiter.Unlimited {
 		f.counters.countLimited(s.name, purpose)
 	} else if purpose == forProbe {
@@ -64,10 +67,23 @@
 	return own && s.forwarder.limiter.NeedsRecheck(t.ID, now)
 }
 
+// closed reports whether a target has come to take no request since it was chosen, and how
+// long that lasts.
+func (s *service) closed(t placer.Target, now time.Time) (wait time.Duration, closed bool) {
+	a := s.forwarder.admitter.Run(t.ID).Admit(admitter.Request, now)
+	if a.Admitted {
+		return 0, false
+	}
+	return max(a.Opens.Sub(now), minWithheld), true
+}
+
 // permit asks whether a request may be sent to a target now. It returns 0, or the time
 // until the next permit.
 func (s *service) permit(ctx context.Context, t placer.Target) time.Duration {
 	f, now := s.forwarder, time.Now()
+	if wait, closed := s.closed(t, now); closed {
+		return wait
+	}
 	if f.limiter.Rate(t.ID) == limiter.Unlimited {
 		return 0
 	}
--- a/internal/process/forwarder/links.go
+++ b/internal/process/forwarder/links.go
@@ -4,11 +4,11 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
 
+	"oriolecourse.example/oriolecourse/internal/connection/sender"
 	"oriolecourse.example/oriolecourse/internal/process/registrar"
 	"oriolecourse.example/oriolecourse/internal/request/admitter"
 	"oriolecourse.example/oriolecourse/internal/request/placer"
@@ -107,7 +107,7 @@
 
 // checkLinks starts a check of the links to the targets if one is due.
 func (s *service) checkLinks(now time.Time) {
-	if targets := s.linkTargets(); s.surveyor.StartCheck(len(targets), now) {
+	if targets := s.contactable(s.linkTargets(), now); s.surveyor.StartCheck(len(targets), now) {
 		go s.contactTargets(targets)
 	}
 }
@@ -115,9 +115,6 @@
 // contactTargets contacts some targets on new connections. If none responds, and none has
 // responded on another connection meanwhile, the instance is cut off from the service.
 func (s *service) contactTargets(targets []placer.Target) {
-	if admitted := s.admitted(targets, time.Now()); len(admitted) > 0 {
-		targets = admitted
-	}
 	n := min(checkTargets, len(targets))
 	answers := make(chan bool, n)
 	for _, k := range rand.Perm(len(targets))[:n] {
@@ -143,11 +140,28 @@
 	}
 }
 
-// admitted returns the targets that a check of the links may contact.
-func (s *service) admitted(targets []placer.Target, now time.Time) []placer.Target {
-	return slices.DeleteFunc(slices.Clone(targets), func(t placer.Target) bool {
-		return !s.forwarder.admitter.Run(t.ID).Admit(admitter.Check, now).Admitted
-	})
+// contactable returns the targets that a check of the links contacts: those that admit it,
+// and of these the ones that are not the last choice, if there are any.
+func (s *service) contactable(targets []placer.Target, now time.Time) []placer.Target {
+	var first, last []placer.Target
+	for _, t := range targets {
+		switch a := s.forwarder.admitter.Run(t.ID).Admit(admitter.Check, now); {
+		case a.LastChoice:
+			last = append(last, t)
+		case a.Admitted:
+			first = append(first, t)
+		}
+	}
+	if len(first) > 0 {
+		return first
+	}
+	return last
+}
+
+// isFrom reports whether a health response is the target's own.
+func (s *service) isFrom(t placer.Target, r *sender.Response) bool {
+	name := s.forwarder.options.Dialect.TargetName(r.Header)
+	return name == "" || name == t.Name
 }
 
 // contact reports whether a target responds on a new connection.
@@ -157,6 +171,9 @@
 	q := s.probeRequest(t)
 	q.NewConnection = true
 	q.MaxConnections += checkConnections
-	_, _, err := s.forwarder.exchanger.Send(ctx, t.Address, q)
+	response, _, err := s.forwarder.exchanger.Send(ctx, t.Address, q)
+	if err == nil && s.isFrom(t, response) {
+		s.observe(t, response, forProbe, time.Now())
+	}
 	return err == nil
 }
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -268,11 +268,11 @@
 	now := time.Now()
 	if err == nil {
 		s.recordAnswer(now)
-		if name := f.options.Dialect.TargetName(response.Header); name != "" && name != t.Name {
+		if !s.isFrom(t, response) {
 			f.options.OnTargetReplaced(t.ID, now)
 			return
 		}
-		s.observeLimit(t, response, forProbe, now)
+		s.observe(t, response, forProbe, now)
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -21,7 +21,8 @@
 	Probe
 	// Offer names the target to an instance of a remote zone.
 	Offer
-	// Check is a contact that shows whether the target can be reached.
+	// Check is a contact that shows whether the target can be reached. A limited target is
+	// the last choice for it.
 	Check
 )
 
@@ -31,8 +32,10 @@
 	// Opens is when the target may be used. It is zero if the target is admitted, and if no
 	// time is known.
 	Opens time.Time
-	// LastChoice means that a request goes to any other admitted target first.
+	// LastChoice means that any other admitted target comes first.
 	LastChoice bool
+	// Cold means that a non-idempotent request goes to any warm target first.
+	Cold bool
 }
 
 // Admitter holds the state of the runs of all targets. It is safe for concurrent use.
@@ -44,30 +47,33 @@
 // Run is the state of one run of a target. It is safe for concurrent use.
 type Run struct {
 	limited atomic.Bool
-	// closedUntil is when the limit allows the next request.
+	// closedUntil is when the limit or the warm-up allows the next request. It has no
+	// meaning for a run that is neither limited nor cold.
 	closedUntil moment
+	// pausedUntil is when the run takes messages of this instance again.
+	pausedUntil moment
+	// coldUntil is when the run takes requests without permits again.
+	coldUntil moment
 	// listed is when the run was last listed. Admitter.mutex guards it.
 	listed time.Time
 }
 
-// moment is a time that is read and written concurrently; 0 means none.
-type moment struct{ nanoseconds atomic.Int64 }
+// moment is a time that is read and written concurrently. It keeps the monotonic part, so
+// that a step of the clock neither ends nor extends a state.
+type moment struct{ at atomic.Pointer[time.Time] }
 
-func (m *moment) set(t time.Time) {
-	if t.IsZero() {
-		m.nanoseconds.Store(0)
-		return
+func (m *moment) set(t time.Time) { m.at.Store(&t) }
+
+// time returns the moment, or the zero time if none was set.
+func (m *moment) time() time.Time {
+	if t := m.at.Load(); t != nil {
+		return *t
 	}
-	m.nanoseconds.Store(t.UnixNano())
+	return time.Time{}
 }
 
 // isAfter reports whether the moment is later than now.
-func (m *moment) isAfter(now time.Time) bool {
-	n := m.nanoseconds.Load()
-	return n != 0 && n > now.UnixNano()
-}
-
-func (m *moment) time() time.Time { return time.Unix(0, m.nanoseconds.Load()) }
+func (m *moment) isAfter(now time.Time) bool { return m.time().After(now) }
 
 // New returns an admitter that admits everything.
 func New() *Admitter { return &Admitter{runs: map[string]*Run{}} }
@@ -92,22 +98,50 @@
 		switch {
 		case listed(key) || r.listed.IsZero():
 			r.listed = now
-		case now.Sub(r.listed) > retention:
+		case now.Sub(r.listed) > retention && !r.Paused(now):
 			delete(a.runs, key)
 		}
 	}
 }
 
+// Count returns the number of runs that are paused and of those that are cold.
+func (a *Admitter) Count(now time.Time) (paused, cold int) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, r := range a.runs {
+		if r.Paused(now) {
+			paused++
+		}
+		if r.Cold(now) {
+			cold++
+		}
+	}
+	return paused, cold
+}
+
 // Admit answers whether the run may be used now.
 func (r *Run) Admit(u Use, now time.Time) Answer {
-	limited := r.limited.Load()
+	limited, cold := r.limited.Load(), r.coldUntil.isAfter(now)
 	switch {
+	case r.pausedUntil.isAfter(now):
+		return Answer{Opens: r.pausedUntil.time()}
+	case u == Check:
+		return Answer{Admitted: true, LastChoice: limited}
 	case limited && u != Request:
 		return Answer{}
 	case limited && r.closedUntil.isAfter(now):
 		return Answer{Opens: r.closedUntil.time()}
+	case cold && u != Probe && r.closedUntil.isAfter(now):
+		return Answer{Opens: earlier(r.closedUntil.time(), r.coldUntil.time())}
 	}
-	return Answer{Admitted: true, LastChoice: limited}
+	return Answer{Admitted: true, LastChoice: limited, Cold: cold}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // SetLimited records whether the run names a limit on the messages that it takes from all
@@ -117,5 +151,31 @@
 	r.closedUntil.set(time.Time{})
 }
 
-// Close records that the run's limit allows no request until the given time.
+// Close records that no permit for a request to the run is left until the given time.
 func (r *Run) Close(until time.Time) { r.closedUntil.set(until) }
+
+// Pause records that the run takes no message of this instance until the given time. It
+// does not shorten an earlier pause, and reports whether the run was not paused before.
+func (r *Run) Pause(until, now time.Time) (began bool) {
+	if until.After(r.pausedUntil.time()) {
+		began = !r.pausedUntil.isAfter(now)
+		r.pausedUntil.set(until)
+	}
+	return began
+}
+
+// SetCold records until when each request to the run needs a permit of its warm-up; the
+// zero time means never. It reports whether that has changed.
+func (r *Run) SetCold(until time.Time) (changed bool) {
+	if r.coldUntil.time().Equal(until) {
+		return false
+	}
+	r.coldUntil.set(until)
+	return true
+}
+
+// Paused reports whether the run takes no message of this instance.
+func (r *Run) Paused(now time.Time) bool { return r.pausedUntil.isAfter(now) }
+
+// Cold reports whether a request to the run needs a permit of its warm-up.
+func (r *Run) Cold(now time.Time) bool { return r.coldUntil.isAfter(now) }
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -102,8 +102,8 @@
 	// with a free slot. If it is nil or returns false, the placer probes the targets of
 	// the zone itself.
 	CanSearch func(zone string, now time.Time) bool
-	// NeedsRecheck reports whether a limited target may get a request although other
-	// targets have room, to learn whether its limit has ended. If it is nil, none may.
+	// NeedsRecheck reports whether a limited or cold target may get a request although other
+	// targets have room. If it is nil, none may.
 	NeedsRecheck func(t Target, now time.Time) bool
 
 	targets map[string]*targetState
--- a/internal/request/placer/preference.go
+++ b/internal/request/placer/preference.go
@@ -7,23 +7,26 @@
 	"oriolecourse.example/oriolecourse/internal/request/admitter"
 )
 
-// prefer removes the targets that are the last choice from the free ones if another one is
-// free or may still report a free slot. If such a target needs a recheck, it returns only
-// those that do.
+// prefer removes the targets that are the last choice for the request from the free ones if
+// another one is free or may still report a free slot. If a limited or cold target needs a
+// request, it returns only those that do.
 func (p *Placer) prefer(t *Ticket, free, usable []*targetState, now time.Time) []*targetState {
-	last := func(s *targetState) bool { return s.admission.Admit(admitter.Request, now).LastChoice }
-	if !slices.ContainsFunc(free, last) {
-		return free
+	last := func(s *targetState) bool {
+		a := s.admission.Admit(admitter.Request, now)
+		return a.LastChoice || a.Cold && t.NonIdempotent
 	}
 	var rechecked []*targetState
 	for _, s := range free {
-		if last(s) && p.isRechecked(t, s, now) {
+		if a := s.admission.Admit(admitter.Request, now); (a.LastChoice || a.Cold) && p.isRechecked(t, s, now) {
 			rechecked = append(rechecked, s)
 		}
 	}
 	if len(rechecked) > 0 {
 		return rechecked
 	}
+	if !slices.ContainsFunc(free, last) {
+		return free
+	}
 	other := func(s *targetState) bool { return !last(s) }
 	mayFindRoom := slices.ContainsFunc(free, other) || t.rounds == 0 || p.awaitsReport(usable, now)
 	if slices.ContainsFunc(usable, other) && mayFindRoom {
@@ -32,8 +35,9 @@
 	return free
 }
 
-// isRechecked reports whether a request goes to a target that is the last choice to learn
-// whether the reason has ended. That must cost the request nothing.
+// isRechecked reports whether a request goes to a limited target to learn whether its limit
+// has ended, or to a cold one so that it does not stay unused. That must cost the request
+// nothing.
 func (p *Placer) isRechecked(t *Ticket, s *targetState, now time.Time) bool {
 	if t.Hedge || t.NonIdempotent || p.NeedsRecheck == nil || s.slowdown(now) > maxSlowdownPastObjective {
 		return false
--- a/internal/request/placer/reject.go
+++ b/internal/request/placer/reject.go
@@ -22,7 +22,10 @@
 		case t.Hedge:
 			return rejection(NoFreeSlot, 0)
 		case now.Add(wait).After(last):
-			return rejection(Limited, wait)
+			// A client that returns before the opening is rejected again.
+			r, rejected := rejection(Limited, wait)
+			r.RetryAfter = max(r.RetryAfter, opening.Sub(now))
+			return r, rejected
 		}
 	}
 	if t.Hedge && t.rounds > 0 && !p.awaitsReport(usable, now) {
