framer, relayer: read what later builds write

Instances of two builds run side by side while they are replaced. The library refuses an array with another number of elements than the struct has fields, and a link ended on an unknown kind of message or document, so no build could add anything to what instances send each other.

framer.Unmarshal reads longer arrays (the rest is skipped), shorter ones (zero values) and ignores what follows the value. A link passes over unknown kinds of messages and documents, topics and types of packets and counts them (peer_unknown).

--- a/internal/connection/framer/conn.go
+++ b/internal/connection/framer/conn.go
@@ -31,8 +31,9 @@
 type Conn struct {
 	socket   net.Conn
 	endpoint *Endpoint
-	// remote is set before the handshake returns and never changes.
-	remote Identity
+	// remote and capabilities are set before the handshake returns and never change.
+	remote       Identity
+	capabilities Capabilities
 
 	reader *bufio.Reader
 	// nextReceived is the sequence number of the next frame to receive. Only the
@@ -58,6 +59,10 @@
 // proved that the other side has a shared key.
 func (c *Conn) Remote() Identity { return c.remote }
 
+// Capabilities returns what the other side sent after its hello. It is zero for a build
+// that sends none.
+func (c *Conn) Capabilities() Capabilities { return c.capabilities }
+
 // Close closes the connection. It may be called more than once and from any
 // goroutine.
 func (c *Conn) Close() error { return c.socket.Close() }
@@ -103,7 +108,7 @@
 		return Message{}, 0, c.closeRefused(err)
 	}
 	m := Message{}
-	if err := msgpack.Unmarshal(payload, &m); err != nil {
+	if err := Unmarshal(payload, &m); err != nil {
 		return Message{}, 0, c.closeRefused(&Refusal{Cause: Undecodable})
 	}
 	return m, lengthBytes + frameOverheadBytes + len(payload), nil
--- a/internal/connection/framer/handshake.go
+++ b/internal/connection/framer/handshake.go
@@ -23,6 +23,9 @@
 	maxHelloBytes = 1 << 10
 	nonceBytes    = 32
 	keyBytes      = 32
+	// maxBuildBytes leaves most of maxHelloBytes to the hello. The name of a commit has 40
+	// bytes.
+	maxBuildBytes = 64
 )
 
 // The labels separate the signatures and keys of the two sides, so that a signature
@@ -43,10 +46,24 @@
 	Incarnation uint64
 }
 
+// Capabilities tells the other side which build an instance runs and what the build
+// understands. It follows the hello as a value of its own, which builds that don't know it
+// ignore.
+type Capabilities struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Features is a set of bits. The caller of this package gives them their meaning.
+	Features uint64
+	// Build is the name of the build, at most maxBuildBytes long.
+	Build string
+}
+
 // Endpoint holds the settings of one instance for all of its connections.
 type Endpoint struct {
 	// Identity is sent in the hello.
 	Identity Identity
+	// Capabilities is sent after the hello.
+	Capabilities Capabilities
 	// Keys returns the current key set.
 	Keys func() Keys
 	// OnRefusal is called for each refusal. It may be nil.
@@ -136,11 +153,10 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	h, received, err := receiveHello(c, keys[:1], labelListener, sent)
+	_, received, err := receiveHello(c, keys[:1], labelListener, sent)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	c.remote = h.Identity
 	if err := c.deriveKeys(&keys[0], sent, received, labelDialer, labelListener); err != nil {
 		return trace.Wrap(err)
 	}
@@ -160,7 +176,6 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	c.remote = h.Identity
 	if err := c.deriveKeys(key, received, sent, labelListener, labelDialer); err != nil {
 		return trace.Wrap(err)
 	}
@@ -177,7 +192,7 @@
 	return nil
 }
 
-// sendHello sends a hello. Its signature also covers the hello that it responds to,
+// sendHello sends a hello with the capabilities. Its signature also covers the hello that it responds to,
 // if there is one. It returns the encoded hello.
 func (e *Endpoint) sendHello(c *Conn, key *Key, label string, previous []byte) ([]byte, error) {
 	nonce, err := e.nonce()
@@ -188,11 +203,19 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	capabilities := e.Capabilities
+	capabilities.Build = capabilities.Build[:min(len(capabilities.Build), maxBuildBytes)]
+	extension, err := msgpack.Marshal(&capabilities)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	text = append(text, extension...)
 	return text, c.writeBlock(text, sign(key.Secret, label, previous, text))
 }
 
-// receiveHello reads a hello and checks that it is signed with one of the keys. It
-// returns the hello and its encoding.
+// receiveHello reads a hello and checks that it is signed with one of the keys. It records
+// the identity and the capabilities of the other side, and returns the hello and its
+// encoding.
 func receiveHello(c *Conn, keys Keys, label string, previous []byte) (*hello, []byte, error) {
 	block, err := c.readBlock(maxHelloBytes)
 	if err != nil {
@@ -202,8 +225,8 @@
 		return nil, nil, &Refusal{Cause: Garbage}
 	}
 	text, signature := block[:len(block)-sha256.Size], block[len(block)-sha256.Size:]
-	h := &hello{}
-	if err := msgpack.Unmarshal(text, h); err != nil || h.Protocol != protocolVersion || len(h.Nonce) != nonceBytes {
+	h, capabilities := &hello{}, Capabilities{}
+	if err := unmarshalSequence(text, h, &capabilities); err != nil || h.Protocol != protocolVersion || len(h.Nonce) != nonceBytes {
 		return nil, nil, &Refusal{Cause: Garbage}
 	}
 	key := keys.find(h.Key)
@@ -213,6 +236,7 @@
 	if !hmac.Equal(signature, sign(key.Secret, label, previous, text)) {
 		return nil, nil, &Refusal{Cause: UnsignedHello}
 	}
+	c.remote, c.capabilities = h.Identity, capabilities
 	return h, text, nil
 }
 
--- a/internal/connection/framer/message.go
+++ b/internal/connection/framer/message.go
@@ -30,7 +30,7 @@
 
 // Decode decodes the body into value. An error is a Refusal.
 func (m Message) Decode(value any) error {
-	if err := msgpack.Unmarshal(m.Body, value); err != nil {
+	if err := Unmarshal(m.Body, value); err != nil {
 		return &Refusal{Cause: Undecodable}
 	}
 	return nil
--- a/internal/process/assembler/handovers.go
+++ b/internal/process/assembler/handovers.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"oriolecourse.example/oriolecourse/internal/connection/framer"
 	"oriolecourse.example/oriolecourse/internal/process/detector"
 	"oriolecourse.example/oriolecourse/internal/process/executor"
 	"oriolecourse.example/oriolecourse/internal/process/relayer"
@@ -75,7 +76,7 @@
 // acceptHandover stores the handover of a stopping incarnation.
 func (i *Instance) acceptHandover(o relayer.Operation, now time.Time) relayer.Outcome {
 	var handover executor.Handover
-	if err := msgpack.Unmarshal(o.Body, &handover); err != nil {
+	if err := framer.Unmarshal(o.Body, &handover); err != nil {
 		return relayer.Outcome{Status: http.StatusBadRequest}
 	}
 	until := now.Add(relayer.Successor.TTL())
--- a/internal/process/detector/member.go
+++ b/internal/process/detector/member.go
@@ -22,8 +22,11 @@
 	Ended
 )
 
-// String returns the name of the state.
+// String returns the name of the state, "other" for an unknown one.
 func (s State) String() string {
+	if s > Ended {
+		return "other"
+	}
 	return [...]string{"alive", "suspect", "failed", "ended"}[s]
 }
 
--- a/internal/process/detector/packet.go
+++ b/internal/process/detector/packet.go
@@ -22,6 +22,9 @@
 	typeCount
 )
 
+// Known reports whether this build knows the type.
+func (t Type) Known() bool { return t < typeCount }
+
 // String returns the name of the type, "other" for an unknown one.
 func (t Type) String() string {
 	if t >= typeCount {
--- a/internal/process/meter/metrics.go
+++ b/internal/process/meter/metrics.go
@@ -48,6 +48,7 @@
 	{"peer_messages", []string{"direction", "kind"}, "Messages exchanged with other instances."},
 	{"peer_bytes", []string{"direction", "kind"}, "Bytes of the messages exchanged with other instances."},
 	{"peer_refused", []string{"cause"}, "Frames from peers that were rejected."},
+	{"peer_unknown", []string{"what"}, "Messages (`message`), types of packets (`packet`), topics of rumors (`topic`) and kinds of documents (`document`) from peers that this build does not know. They are ignored. Anything but 0 is expected only while a later build runs beside this one."},
 	{"peer_changes", []string{"state"}, "Changes of the state of other instances in this instance's view, by new state."},
 	{"lines_omitted", nil, "Log lines that were omitted: the reader of the logs is too slow, or one kind of line is too frequent."},
 }
--- a/internal/process/relayer/document.go
+++ b/internal/process/relayer/document.go
@@ -28,8 +28,11 @@
 	documentKindCount
 )
 
-// String returns the name of the kind.
+// String returns the name of the kind, "other" for an unknown one.
 func (k DocumentKind) String() string {
+	if k >= documentKindCount {
+		return "other"
+	}
 	return [...]string{"settings", "list"}[k]
 }
 
@@ -198,8 +201,12 @@
 
 func (r *Relayer) handlePull(l *link, m framer.Message, _ time.Time) error {
 	p := pullRequest{}
-	if err := m.Decode(&p); err != nil || p.Kind >= documentKindCount {
-		return &framer.Refusal{Cause: framer.Undecodable}
+	if err := m.Decode(&p); err != nil {
+		return err
+	}
+	if p.Kind >= documentKindCount {
+		r.metrics.countUnknown(unknownDocument)
+		return nil
 	}
 	if r.options.Documents == nil {
 		return nil
--- a/internal/process/relayer/link.go
+++ b/internal/process/relayer/link.go
@@ -27,6 +27,8 @@
 	lastUsed, pingSent atomic.Int64
 	closed             chan struct{}
 	closeOnce          sync.Once
+	// factsSent is the revision of the facts that were last sent on this link.
+	factsSent atomic.Uint64
 	// finishing is set when the link is shutting down. It sends nothing more and
 	// drops the messages that it receives.
 	finishing atomic.Bool
@@ -83,9 +85,19 @@
 	return len(l.pending)+len(l.operations) > 0
 }
 
+// understands reports whether the peer has the features that a kind of message takes.
+func (l *link) understands(kind framer.Kind) bool {
+	needed := kindFeatures[kind]
+	return Features(l.conn.Capabilities().Features)&needed == needed
+}
+
 // send writes one message. An error means that the message was not sent. Messages
-// to a peer that Options.Allow denies are dropped without an error.
+// to a peer that Options.Allow denies are dropped without an error. A message that the
+// peer's build does not understand is not sent.
 func (l *link) send(kind framer.Kind, id uint64, value any) error {
+	if !l.understands(kind) {
+		return trace.NotImplemented("peer %s does not read messages of kind %s", l.peer, kindNames[kind])
+	}
 	m, err := framer.Encode(kind, id, value)
 	if err != nil {
 		return trace.Wrap(err)
@@ -177,8 +189,8 @@
 		l.lastUsed.Store(int64(time.Since(l.relayer.started)))
 		l.pingSent.Store(0)
 		if m.Kind == 0 || m.Kind >= messageKindEnd {
-			l.relayer.metrics.countRefusal(framer.Undecodable)
-			return
+			l.relayer.metrics.countUnknown(unknownMessage)
+			continue
 		}
 		l.relayer.metrics.countMessage(received, m.Kind, size)
 		if err := l.relayer.handlerTable[m.Kind](l, m, time.Now()); err != nil {
--- a/internal/process/relayer/packet.go
+++ b/internal/process/relayer/packet.go
@@ -30,6 +30,7 @@
 	if o.Packet.Type == detector.Ping {
 		l.pingSent.CompareAndSwap(0, int64(time.Since(r.started)))
 	}
+	l.sendFacts()
 	e := envelope{Packet: o.Packet, Stamps: r.stamps(), Rumors: r.rumors.forPacket(r.placeOf(o.To), len(r.Members()), now)}
 	return l.send(kindPacket, 0, &e)
 }
@@ -43,6 +44,9 @@
 	if e.Packet.From.Instance.Peer != l.peer || e.Packet.From.Incarnation != l.conn.Remote().Incarnation {
 		return &framer.Refusal{Cause: framer.Undecodable}
 	}
+	if !e.Packet.Type.Known() {
+		r.metrics.countUnknown(unknownPacket)
+	}
 	r.stepVia(l, now, func(d *detector.Detector) []detector.Outgoing { return d.Receive(e.Packet, now) })
 	r.receiveRumors(e.Rumors, now)
 	r.pullNewer(l, e.Stamps, now)
--- a/internal/process/relayer/pool.go
+++ b/internal/process/relayer/pool.go
@@ -152,6 +152,7 @@
 	}
 	p.links[l.peer] = l
 	p.all[l] = struct{}{}
+	p.relayer.peers.add(l.conn.Remote(), l.conn.Capabilities())
 	return true
 }
 
--- a/internal/process/relayer/relayer.go
+++ b/internal/process/relayer/relayer.go
@@ -37,6 +37,8 @@
 	Self lister.Instance
 	// Incarnation identifies this lifetime of the instance's process. It is random.
 	Incarnation uint64
+	// Build is the name of the build of this program.
+	Build string
 	// Listen is the address on which peers are accepted. The default is Self.Peer.
 	Listen netip.AddrPort
 	// Seeds are addresses of peers to try in addition to the instances of the list.
@@ -76,6 +78,8 @@
 	// Permit answers a peer that asks for a permit to send to a limited run of a target.
 	// It must not block.
 	Permit func(q PermitRequest, now time.Time) PermitResponse
+	// OnFacts is called with the facts that a peer tells about itself. It must not block.
+	OnFacts func(peer framer.Identity, f Facts, now time.Time)
 	// OnMembersChange is called with all other members after each change. It must not
 	// block or call the relayer.
 	OnMembersChange func(members []detector.Member, changes []detector.Change)
@@ -105,6 +109,11 @@
 	// view is the latest membership. Each change replaces the slice.
 	view atomic.Pointer[[]detector.Member]
 
+	// facts holds this instance's facts, or nil. peers holds what peers have told in their
+	// handshakes.
+	facts atomic.Pointer[revisedFacts]
+	peers peers
+
 	// mutex guards the detector and orders the calls of Options.OnMembersChange.
 	mutex    sync.Mutex
 	detector *detector.Detector
@@ -152,6 +161,7 @@
 	r.context, r.cancel = context.WithCancel(context.Background())
 	r.endpoint = framer.Endpoint{
 		Identity:        framer.Identity{Peer: o.Self.Peer, Incarnation: o.Incarnation},
+		Capabilities:    framer.Capabilities{Features: uint64(ownFeatures), Build: o.Build},
 		Keys:            o.Keys,
 		OnRefusal:       r.metrics.countRefusal,
 		MaxPayloadBytes: MaxFrameBytes,
--- a/internal/process/relayer/run.go
+++ b/internal/process/relayer/run.go
@@ -149,6 +149,9 @@
 	members := r.detector.Members()
 	r.view.Store(&members)
 	for _, c := range changes {
+		if c.Member.State == detector.Ended {
+			r.peers.remove(c.Member.Instance.Peer, c.Member.Incarnation)
+		}
 		r.metrics.countChange(c.Member.State)
 		if c.Member.Instance.Place != r.options.Self.Place {
 			continue
--- a/internal/process/relayer/spread.go
+++ b/internal/process/relayer/spread.go
@@ -157,6 +157,10 @@
 func (r *Relayer) receiveRumors(incoming []Rumor, now time.Time) {
 	var fresh []Rumor
 	for _, rumor := range incoming {
+		if rumor.Topic >= topicCount {
+			r.metrics.countUnknown(unknownTopic)
+			continue
+		}
 		if r.rumors.add(rumor, now) {
 			fresh = append(fresh, rumor)
 		}
--- a/internal/process/relayer/traffic.go
+++ b/internal/process/relayer/traffic.go
@@ -44,10 +44,25 @@
 	messageCounter, byteCounter tally.Counter
 }
 
+// unknown is what a peer of another build sent and this build doesn't know.
+type unknown int
+
+const (
+	unknownMessage unknown = iota
+	unknownPacket
+	unknownTopic
+	unknownDocument
+	unknownCount
+)
+
+// unknownTags holds the metric tag of each unknown.
+var unknownTags = [unknownCount]string{unknownMessage: "message", unknownPacket: "packet", unknownTopic: "topic", unknownDocument: "document"}
+
 // metrics counts messages, refused messages and connections, and member changes.
 type metrics struct {
 	counters      [directionCount][messageKindEnd]trafficCounter
 	refused       map[framer.Cause]tally.Counter
+	unknown       [unknownCount]tally.Counter
 	memberChanges [detector.Ended + 1]tally.Counter
 }
 
@@ -63,6 +78,9 @@
 	for _, c := range framer.Causes() {
 		m.refused[c] = scope.Tagged(map[string]string{"cause": c.String()}).Counter("peer_refused")
 	}
+	for u := range m.unknown {
+		m.unknown[u] = scope.Tagged(map[string]string{"what": unknownTags[u]}).Counter("peer_unknown")
+	}
 	for s := range m.memberChanges {
 		m.memberChanges[s] = scope.Tagged(map[string]string{"state": detector.State(s).String()}).Counter("peer_changes")
 	}
@@ -79,6 +97,8 @@
 
 func (m *metrics) countRefusal(c framer.Cause) { m.refused[c].Inc(1) }
 
+func (m *metrics) countUnknown(u unknown) { m.unknown[u].Inc(1) }
+
 func (m *metrics) countChange(s detector.State) { m.memberChanges[s].Inc(1) }
 
 // Traffic returns the counts for each kind of message.
--- a/internal/process/relayer/wire.go
+++ b/internal/process/relayer/wire.go
@@ -7,7 +7,9 @@
 	"oriolecourse.example/oriolecourse/internal/process/detector"
 )
 
-// The kinds of messages between instances. The values are part of the wire format.
+// The kinds of messages between instances. The values are part of the wire format. Builds
+// up to 01113c9 end a connection on which a kind arrives that they don't know, so
+// kindFeatures names a feature for each kind after kindPermit.
 const (
 	kindPacket framer.Kind = iota + 1
 	kindAnnounce
@@ -24,6 +26,7 @@
 	kindTargetOffers
 	kindAskPermit
 	kindPermit
+	kindFacts
 	// messageKindEnd is one above the last kind.
 	messageKindEnd
 )
@@ -46,6 +49,12 @@
 	kindTargetOffers:    "found",
 	kindAskPermit:       "ask",
 	kindPermit:          "permit",
+	kindFacts:           "facts",
+}
+
+// kindFeatures holds the features that a peer must have to be sent a kind.
+var kindFeatures = [messageKindEnd]Features{
+	kindFacts: 1 << TellsFacts,
 }
 
 // handler handles a received message. It returns an error for an invalid message,
@@ -71,6 +80,7 @@
 		kindTargetOffers:    handleResponse,
 		kindAskPermit:       r.handleAskPermit,
 		kindPermit:          handleResponse,
+		kindFacts:           r.handleFacts,
 	}
 }
 
