--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 # Formatter check, linter, vet, race tests, and last the share of the soak, so that
 # its failure does not hide a failing test.
 test: lint
+	scripts/production.sh
 	scripts/test.sh
 	scripts/soak-share.sh
 
--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -189,7 +189,7 @@
 // Run runs the instance until the context ends and the instance has shut down, or
 // until a part of it fails.
 func (i *Instance) Run(ctx context.Context) error {
-	_ = level.Info(i.options.Logger).Log("msg", "started", "front", i.options.Front, "peer", i.options.Peer, "zone", i.options.Zone)
+	_ = level.Info(i.options.Logger).Log("msg", "started", "build", relayer.BuildName(), "front", i.options.Front, "peer", i.options.Peer, "zone", i.options.Zone)
 	l, err := net.Listen("tcp4", i.options.Front.String())
 	if err != nil {
 		return trace.Wrap(err, "listening for clients on %s", i.options.Front)
--- a/internal/process/journaler/lines.go
+++ b/internal/process/journaler/lines.go
@@ -19,7 +19,7 @@
 
 // LineKinds describes all kinds of lines.
 var LineKinds = []LineKind{
-	{"started", "The process has started.", []string{"front", "peer", "zone"}},
+	{"started", "The process has started.", []string{"build", "front", "peer", "zone"}},
 	{"peers asked", "A starting instance has asked its seeds for documents and rumors.", []string{"reached"}},
 	{"ready", "The instance starts to accept clients.", []string{"after", "settings", "targets"}},
 	{"stopping", "The instance was asked to stop.", []string{"busy", "connections"}},
@@ -74,6 +74,7 @@
 	{"service", "service of the targets"},
 	{"target", "run of a target: its identifier and its start in milliseconds of Unix time"},
 	{"address", "address of the target"},
+	{"build", "commit of the program, with + if its sources were changed"},
 	{"zone", "availability zone"},
 	{"waited", "time since the arrival of the request"},
 	{"expected", "expected duration of the request at the target"},
--- a/internal/process/relayer/relayer.go
+++ b/internal/process/relayer/relayer.go
@@ -37,7 +37,7 @@
 	Self lister.Instance
 	// Incarnation identifies this lifetime of the instance's process. It is random.
 	Incarnation uint64
-	// Build is the name of the build of this program.
+	// Build is the name of the build of this program. The default is BuildName.
 	Build string
 	// Listen is the address on which peers are accepted. The default is Self.Peer.
 	Listen netip.AddrPort
@@ -149,6 +149,9 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
+	if o.Build == "" {
+		o.Build = BuildName()
+	}
 	r := &Relayer{
 		options:        o,
 		rumors:         newRumors(),
