--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -122,9 +123,12 @@
 	lists     *adopter.Adopter[registrar.List]
 	registrar *registrar.Registrar
 	forwarder *forwarder.Forwarder
-	relayer   *relayer.Relayer
-	syncer    *syncer.Syncer
-	seeker    *seeker.Seeker
+	// targetsMutex is held while the usable runs are passed from the registrar to the
+	// forwarder.
+	targetsMutex sync.Mutex
+	relayer      *relayer.Relayer
+	syncer       *syncer.Syncer
+	seeker       *seeker.Seeker
 	// limitOwners holds the owners of the targets that name limits.
 	limitOwners limiter.Owners
 	acceptor    *acceptor.Acceptor
@@ -149,6 +153,7 @@
 	i.tables = &adopter.Adopter[router.Table]{Check: checkTable, OnChange: i.tableChanged, OnReject: i.documentRejected}
 	i.lists = &adopter.Adopter[registrar.List]{Check: checkList, OnChange: i.listChanged, OnReject: i.documentRejected}
 	i.registrar = registrar.New(i.runChanged)
+	i.registrar.Warmup = i.warmup
 	i.seeker = &seeker.Seeker{Random: rand.IntN}
 	i.forwarder = forwarder.New(forwarder.Options{
 		Dialect: o.Dialect, Zone: o.Zone, LocalAddress: o.TargetsFrom, Budget: o.Budget,
--- a/internal/process/composer/documents.go
+++ b/internal/process/composer/documents.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/gravitational/trace"
 
@@ -90,12 +91,35 @@
 
 func (i *Instance) listChanged(l *registrar.List, s adopter.Stamp, now time.Time) {
 	_ = level.Info(i.options.Logger).Log("msg", "targets listed", "version", s, "runs", len(l.Runs), "unsettled", l.MayBeIncomplete)
-	i.registrar.Apply(l, now)
+	changes := i.registrar.Apply(l, now)
 	i.updateTargets(now)
+	for _, c := range changes {
+		i.logZoneChange(c, s)
+	}
+}
+
+func (i *Instance) logZoneChange(c registrar.ZoneChange, s adopter.Stamp) {
+	write := level.Info(log.With(i.options.Logger, "zone", c.Zone, "version", s, "runs", c.Runs, "busy", i.forwarder.RequestsInZones(c.Zone)))
+	if c.Emptied {
+		_ = write.Log("msg", "zone emptied")
+		return
+	}
+	_ = write.Log("msg", "zone taken back")
+}
+
+// warmup returns the slow period of a service's targets by the settings in force.
+func (i *Instance) warmup(service string) time.Duration {
+	if t := i.tables.Current(); t != nil && t.Service(service) != nil {
+		return t.Service(service).Warmup
+	}
+	return 0
 }
 
-// updateTargets passes the runs that the registrar considers usable to the forwarder.
+// updateTargets passes the runs that the registrar considers usable to the forwarder. Updates
+// wait for each other, or an older set could replace a newer one.
 func (i *Instance) updateTargets(now time.Time) {
+	i.targetsMutex.Lock()
+	defer i.targetsMutex.Unlock()
 	i.forwarder.SetTargets(i.registrar.Usable(), now)
 }
 
--- a/internal/process/composer/gauges.go
+++ b/internal/process/composer/gauges.go
@@ -26,6 +26,9 @@
 	set(s, "client_requests", i.acceptor.PendingRequests())
 	set(s, "target_connections", i.forwarder.Connections())
 	set(s, "targets_limited", i.forwarder.LimitedTargets())
+	emptied := i.registrar.EmptiedZones()
+	set(s, "zones_emptied", len(emptied))
+	set(s, "emptied_requests", i.forwarder.RequestsInZones(emptied...))
 	if t := i.tables.Current(); t != nil {
 		s.Gauge("settings_version").Update(float64(t.Version))
 	}
--- a/internal/process/forwarder/counters.go
+++ b/internal/process/forwarder/counters.go
@@ -65,6 +65,12 @@
 	c.scope.Tagged(map[string]string{"service": service, "result": result}).Counter("permits").Inc(1)
 }
 
+// countRevoked counts a granted request that was not sent because its target has become
+// unusable since.
+func (c *counters) countRevoked(service string) {
+	c.scope.Tagged(map[string]string{"service": service}).Counter("grants_revoked").Inc(1)
+}
+
 // countContact counts the first exchange of a connection to a target.
 func (c *counters) countContact(answered bool) {
 	result := "unanswered"
--- a/internal/process/forwarder/execution.go
+++ b/internal/process/forwarder/execution.go
@@ -41,6 +41,9 @@
 	// withheld is the time until the target takes a further request, if the request was
 	// not sent because of its limit.
 	withheld time.Duration
+	// revoked means that the request was not sent because the target has become unusable
+	// since the grant.
+	revoked  bool
 	response *sender.Response
 	effect   sender.Effect
 	err      error
@@ -152,6 +155,11 @@
 			e.results <- result{grant: g, sent: now, withheld: wait}
 			return
 		}
+		if !e.service.isUsable(g.Target.ID) {
+			e.results <- result{grant: g, sent: now, revoked: true}
+			return
+		}
+		defer e.forwarder.countSent(g.Target.Zone)()
 		response, effect, err := e.forwarder.exchanger.Send(e.ctx, g.Target.Address, q)
 		e.results <- result{grant: g, sent: now, response: response, effect: effect, err: err}
 	}()
@@ -173,7 +181,7 @@
 // client, or nil if there is none yet; then it may have started a retry.
 func (e *execution) handleResult(r result) *acceptor.Response {
 	now := time.Now()
-	if r.withheld > 0 {
+	if r.withheld > 0 || r.revoked {
 		e.handleWithheld(r, now)
 		return nil
 	}
@@ -208,9 +216,14 @@
 	return nil
 }
 
-// handleWithheld handles an attempt that was not sent because of the target's limit. The
-// request goes back to the placer, unless it is a hedge whose original still runs.
+// handleWithheld handles an attempt that was not sent because of the target's limit or
+// because the target has become unusable. The request goes back to the placer, unless it is
+// a hedge whose original still runs.
 func (e *execution) handleWithheld(r result, now time.Time) {
+	if r.revoked {
+		e.forwarder.counters.countRevoked(e.service.name)
+		_ = level.Info(e.logger).Log("msg", "not sent", "service", e.service.name, "target", r.grant.Target.ID)
+	}
 	e.sent--
 	e.tried = slices.DeleteFunc(e.tried, func(id string) bool { return id == r.grant.Target.ID })
 	e.service.withhold(r.grant, r.withheld, now)
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -121,6 +121,9 @@
 	servicesByAddress atomic.Pointer[map[netip.AddrPort]*service]
 	// cutOff means that the instance is cut off from the targets of all services.
 	cutOff atomic.Bool
+	// sentByZone holds the number of requests in progress at the targets of each
+	// availability zone, an *atomic.Int64 by the zone's name.
+	sentByZone sync.Map
 
 	budget atomic.Pointer[Budget]
 
@@ -216,6 +219,25 @@
 	return slices.Collect(maps.Values(f.services))
 }
 
+// countSent counts a request that is sent to a target of a zone, until the returned function
+// is called.
+func (f *Forwarder) countSent(zone string) (ended func()) {
+	n, _ := f.sentByZone.LoadOrStore(zone, &atomic.Int64{})
+	n.(*atomic.Int64).Add(1)
+	return func() { n.(*atomic.Int64).Add(-1) }
+}
+
+// RequestsInZones returns the number of requests in progress at the targets of some zones.
+func (f *Forwarder) RequestsInZones(zones ...string) int {
+	sum := 0
+	for _, z := range zones {
+		if n, found := f.sentByZone.Load(z); found {
+			sum += int(n.(*atomic.Int64).Load())
+		}
+	}
+	return sum
+}
+
 // LimitedTargets returns the number of runs that name a limit.
 func (f *Forwarder) LimitedTargets() int { return f.limiter.Count() }
 
--- a/internal/process/forwarder/links.go
+++ b/internal/process/forwarder/links.go
@@ -79,9 +79,10 @@
 }
 
 // relays reports whether requests are relayed to other instances, because this one is cut
-// off from the targets of the service and another one may not be.
+// off from the targets of the service and another one may not be. Without targets another
+// instance cannot serve them either.
 func (s *service) relays() bool {
-	return s.surveyor.CutOff() && s.forwarder.options.CanRelay()
+	return s.surveyor.CutOff() && len(s.linkTargets()) > 0 && s.forwarder.options.CanRelay()
 }
 
 // linkTargets returns the targets of the service.
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -223,6 +224,11 @@
 	return s.placer.RetryAfterShed(now)
 }
 
+// isUsable reports whether a target may get new requests now.
+func (s *service) isUsable(id string) bool {
+	return slices.ContainsFunc(s.linkTargets(), func(t placer.Target) bool { return t.ID == id })
+}
+
 // reportSlow tells the placer that a request at a target takes much longer than
 // expected.
 func (s *service) reportSlow(g *placer.Grant, now time.Time) {
--- a/internal/process/registrar/list.go
+++ b/internal/process/registrar/list.go
@@ -39,6 +39,9 @@
 	// MayBeIncomplete says that the list was made right after an outage of the platform
 	// and may lack entries of live targets.
 	MayBeIncomplete bool `json:"unsettled,omitzero"`
+	// Emptied holds the availability zones whose targets get no new requests, sorted. It is
+	// nil if the list says nothing of it.
+	Emptied []string `json:"emptied"`
 	// Runs is sorted by name.
 	Runs []Run `json:"runs"`
 }
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -25,6 +25,9 @@
 	// Missing runs were omitted by a possibly incomplete list and may still get new
 	// requests.
 	Missing
+	// Emptied runs would be Ready or Missing, but an operator has emptied their availability
+	// zone. They are usable again once the zone is taken back.
+	Emptied
 	// Leaving runs never get new requests again.
 	Leaving
 	// Gone runs are no longer listed. A Gone run whose entry merely expired at the
@@ -34,7 +37,9 @@
 )
 
 // String returns the name of the state.
-func (s State) String() string { return [...]string{"ready", "missing", "leaving", "gone"}[s] }
+func (s State) String() string {
+	return [...]string{"ready", "missing", "emptied", "leaving", "gone"}[s]
+}
 
 // Change is a change of a run's state, for the logs.
 type Change struct {
@@ -49,7 +54,8 @@
 
 // entry holds the state of one run.
 type entry struct {
-	run   Run
+	run Run
+	// state is never Emptied, so that it outlasts the emptying of the zone.
 	state State
 	// warmupEnd is when the run reaches its usual speed. It is not before the run was first
 	// listed.
@@ -69,9 +75,13 @@
 	// OnChange is called for each change of a run's state; it must not block. It may be
 	// nil.
 	OnChange func(c Change)
+	// Warmup returns the slow period of a service's targets. If it is nil, there is none.
+	Warmup func(service string) time.Duration
 
 	mutex   sync.Mutex
 	entries map[string]*entry
+	// emptied holds the emptied zones.
+	emptied map[string]bool
 }
 
 // New returns a registrar without runs.
@@ -79,10 +89,12 @@
 	return &Registrar{OnChange: onChange, entries: map[string]*entry{}}
 }
 
-// Apply applies a list that has come into force.
-func (r *Registrar) Apply(l *List, now time.Time) {
+// Apply applies a list that has come into force. It returns the zones that the list empties
+// or takes back.
+func (r *Registrar) Apply(l *List, now time.Time) []ZoneChange {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	changes := r.setEmptied(l.Emptied, now)
 	for _, e := range r.entries {
 		e.listed = false
 	}
@@ -94,6 +106,8 @@
 			r.applyOmission(e, l.MayBeIncomplete, now)
 		}
 	}
+	r.countRuns(changes)
+	return changes
 }
 
 func (r *Registrar) applyRun(run Run, now time.Time) {
@@ -105,7 +119,7 @@
 	if e == nil {
 		e = &entry{run: run, state: state, warmupEnd: now.Add(run.WarmupLeft), listed: true}
 		r.entries[run.Key()] = e
-		r.notify(Change{Run: run, State: state, Previous: Gone, New: true, Cause: "list"})
+		r.notify(Change{Run: run, State: r.visible(e), Previous: Gone, New: true, Cause: "list"})
 	}
 	if run.WarmupLeft > e.run.WarmupLeft {
 		e.extendWarmup(now.Add(run.WarmupLeft))
@@ -152,9 +166,9 @@
 	if e.state == s {
 		return
 	}
-	previous := e.state
+	previous := r.visible(e)
 	e.state = s
-	r.notify(Change{Run: e.run, State: s, Previous: previous, Cause: cause})
+	r.notify(Change{Run: e.run, State: r.visible(e), Previous: previous, Cause: cause})
 }
 
 func (r *Registrar) notify(c Change) {
@@ -199,7 +213,7 @@
 	defer r.mutex.Unlock()
 	all := map[string][]UsableRun{}
 	for _, e := range r.entries {
-		if e.state <= Missing {
+		if e.state <= Missing && !r.emptied[e.run.Zone] {
 			all[e.run.Service] = append(all[e.run.Service], UsableRun{Run: e.run, WarmupEnd: e.warmupEnd})
 		}
 	}
@@ -213,7 +227,7 @@
 	all := map[string][stateCount]int{}
 	for _, e := range r.entries {
 		n := all[e.run.Service]
-		n[e.state]++
+		n[r.visible(e)]++
 		all[e.run.Service] = n
 	}
 	return all
