--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -122,10 +122,10 @@
 	tables    *adopter.Adopter[router.Table]
 	lists     *adopter.Adopter[registrar.List]
 	registrar *registrar.Registrar
+	forwarder *forwarder.Forwarder
 	// targetsMutex orders the updates of the forwarder's targets, so that an older state of
 	// the registrar never replaces a newer one.
 	targetsMutex sync.Mutex
-	forwarder    *forwarder.Forwarder
 	relayer      *relayer.Relayer
 	syncer       *syncer.Syncer
 	seeker       *seeker.Seeker
@@ -153,6 +153,7 @@
 	i.tables = &adopter.Adopter[router.Table]{Check: checkTable, OnChange: i.tableChanged, OnReject: i.documentRejected}
 	i.lists = &adopter.Adopter[registrar.List]{Check: checkList, OnChange: i.listChanged, OnReject: i.documentRejected}
 	i.registrar = registrar.New(i.runChanged)
+	i.registrar.Warmup = i.warmup
 	i.seeker = &seeker.Seeker{Random: rand.IntN}
 	i.forwarder = forwarder.New(forwarder.Options{
 		Dialect: o.Dialect, Zone: o.Zone, LocalAddress: o.TargetsFrom, Budget: o.Budget,
