--- a/internal/process/forwarder/revoke_test.go
+++ b/internal/process/forwarder/revoke_test.go
@@ -54,7 +54,7 @@
 		Zone: "a",
 		Dialect: Dialect{
 			RequestID: "Id", Deadline: "Deadline", RetryAfter: "Return", Target: "To",
-			Limit: func(http.Header) float64 { return 1000 }, TargetName: func(http.Header) string { return "" },
+			Statement: func(*sender.Response) Statement { return Statement{Limit: 1000} }, TargetName: func(http.Header) string { return "" },
 			Load:        func(http.Header) (placer.Load, bool) { return placer.Load{}, false },
 			NotExecuted: func(*sender.Response) bool { return false },
 		},
