Large responses stream to the client; one account of memory for bodies

A response was read as a whole, up to 16 MiB, before its first byte was passed on, and its memory was counted nowhere. Now at most 256 KiB are read first, and until then the request may be retried. The rest is passed on as it arrives, up to 64 MiB. The package streamer reads ahead of a slow client while the account (package reserver) has room, so that the target's slot and memory come free; without room it holds one piece. A response that ends early resets the client's connection; one that breaks off before its turn in a pipeline becomes a 502. A target that breaks off what was left unread for a second is not blamed. Request bodies are bounded by a part of the same account, taken before the body is read if its length is known; while the account is full, requests get 503.

--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -10,14 +11,21 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"oriolecourse.example/oriolecourse/internal/connection/reserver"
+	"oriolecourse.example/oriolecourse/internal/connection/streamer"
 )
 
 const (
 	// acceptRetryDelay is the delay after a failed accept. If the process has run out
 	// of file descriptors, other connections may close in that time.
 	acceptRetryDelay = 20 * time.Millisecond
-	// writeTimeout bounds the writing of one response to a client that reads slowly.
+	// writeTimeout bounds the writing of one response, or of one piece of a streamed one,
+	// to a client that reads slowly.
 	writeTimeout = 10 * time.Second
+	// streamTimeout bounds the writing of a streamed response. The largest one takes about
+	// this long at 10 Mbit/s.
+	streamTimeout = time.Minute
 	// bodyTimeout bounds each read of a body.
 	bodyTimeout = 5 * time.Second
 	// lingerTimeout is how long a closing connection is read after its last response.
@@ -52,11 +60,17 @@
 	Body   []byte
 }
 
-// Response is the complete response to one request.
+// Response is the response to one request.
 type Response struct {
 	Status int
 	Header http.Header
-	Body   []byte
+	// Body is the complete body, or its first part if Rest is set.
+	Body []byte
+	// Rest is what follows Body, or nil. The acceptor closes it.
+	Rest *streamer.Body
+	// Length is the length of the body with its rest, or -1 if it is unknown. It is used
+	// only if Rest is set.
+	Length int64
 }
 
 // Acceptor serves the connections of one listener. Its fields must be set before
@@ -70,6 +84,9 @@
 	// MaxBodyMemory bounds the bytes of all request bodies that are held at once, over
 	// all connections.
 	MaxBodyMemory int64
+	// Memory counts the bodies of requests and responses. While it is full, requests are
+	// refused. It may be nil.
+	Memory *reserver.Reserver
 	// MaxConnections bounds the open connections. Further connections wait in the
 	// accept queue of the listener.
 	MaxConnections int
@@ -78,20 +95,24 @@
 	// fails, with the listener's address and status 0. It may be nil.
 	OnError func(remote string, status int, cause error)
 
-	// bodyBytes is the memory of all request bodies held, bounded by MaxBodyMemory.
-	bodyBytes atomic.Int64
-	draining  atomic.Bool
-	mutex     sync.Mutex
-	conns     map[*conn]struct{}
-	group     sync.WaitGroup
-	done      chan struct{}
-	stopOnce  sync.Once
+	// bodies counts the request bodies, bounded by MaxBodyMemory; it is a part of Memory.
+	bodies   *reserver.Reserver
+	draining atomic.Bool
+	mutex    sync.Mutex
+	conns    map[*conn]struct{}
+	group    sync.WaitGroup
+	done     chan struct{}
+	stopOnce sync.Once
 }
 
 // Prepare initializes the acceptor. Run and Stop may then be called in any order.
 func (a *Acceptor) Prepare() {
 	a.conns = map[*conn]struct{}{}
 	a.done = make(chan struct{})
+	if a.Memory == nil {
+		a.Memory = reserver.New(math.MaxInt64, nil)
+	}
+	a.bodies = reserver.New(a.MaxBodyMemory, a.Memory)
 }
 
 // Run accepts connections until the listener is closed.
@@ -190,6 +211,5 @@
 	}
 }
 
-// errBodyMemory is returned for a request body that exceeds MaxBodyMemory together
-// with the other bodies held.
-var errBodyMemory = trace.LimitExceeded("the request bodies exceed the memory that is reserved for them")
+// errBodyMemory is returned for a request for whose body, or response, no memory is left.
+var errBodyMemory = trace.LimitExceeded("the bodies of requests and responses exceed the memory that is reserved for them")
--- a/internal/connection/acceptor/acceptor_test.go
+++ b/internal/connection/acceptor/acceptor_test.go
@@ -26,12 +26,18 @@
 		MaxBodyMemory:  4096,
 		MaxConnections: 8,
 	}
+	return a, run(t, a)
+}
+
+// run runs an acceptor until the end of the test and returns its address.
+func run(t *testing.T, a *Acceptor) string {
+	t.Helper()
 	a.Prepare()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	go a.Run(l)
 	t.Cleanup(func() { l.Close(); a.Stop() })
-	return a, l.Addr().String()
+	return l.Addr().String()
 }
 
 // echo responds with the method, URI and body of the request.
--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -19,6 +19,9 @@
 // exchange is one request of a connection and its future response.
 type exchange struct {
 	method string
+	// isHTTP10 means that the client does not understand chunked encoding. Its request is
+	// the last one of its connection, whose end may be the end of the body.
+	isHTTP10 bool
 	// response receives exactly one response.
 	response chan *Response
 	// last means that the connection closes after this response.
@@ -128,7 +131,11 @@
 	if err == nil {
 		x.last = x.last || c.isLastRequest()
 		c.queue <- x
-		go func() { x.response <- c.acceptor.Handle(ctx, q) }()
+		go func() {
+			response := c.acceptor.Handle(ctx, q)
+			c.acceptor.Memory.Force(int64(len(response.Body)))
+			x.response <- response
+		}()
 		return x.last, nil
 	}
 	var invalid *requestError
@@ -161,11 +168,15 @@
 			return nil, nil, trace.Wrap(err)
 		}
 	}
-	body, err := c.readBody(h, limits.MaxBodyBytes)
+	if c.acceptor.Memory.Full() {
+		return nil, nil, &requestError{http.StatusServiceUnavailable, errBodyMemory}
+	}
+	body, reserved, err := c.readBody(h, limits.MaxBodyBytes)
 	if err != nil {
 		return nil, nil, err
 	}
-	x := &exchange{method: h.Method, response: make(chan *Response, 1), last: h.Close, bodyBytes: int64(len(body))}
+	isHTTP10 := !h.ProtoAtLeast(1, 1)
+	x := &exchange{method: h.Method, isHTTP10: isHTTP10, response: make(chan *Response, 1), last: h.Close || isHTTP10, bodyBytes: reserved}
 	q := &Request{Arrived: time.Now(), Method: h.Method, RequestURI: requestURI(h), Host: h.Host, Header: h.Header, Body: body}
 	StripHopByHop(q.Header)
 	// The acceptor itself has sent 100 Continue before it read the body.
@@ -182,28 +193,22 @@
 	return h.RequestURI
 }
 
-// readBody reads a request body within maxBytes and the memory for all bodies.
-func (c *conn) readBody(h *http.Request, maxBytes int) ([]byte, error) {
+// readBody reads a request body within maxBytes and the memory for all bodies. It also
+// returns the memory that it has reserved.
+func (c *conn) readBody(h *http.Request, maxBytes int) (body []byte, reserved int64, err error) {
 	if h.ContentLength == 0 {
-		return nil, nil
+		return nil, 0, nil
 	}
-	b := &memoryWriter{total: &c.acceptor.bodyBytes, maxTotal: c.acceptor.MaxBodyMemory}
-	body, err := io.ReadAll(io.LimitReader(io.TeeReader(&deadlineReader{c, bodyReader(c.reader, h)}, b), int64(maxBytes)+1))
+	body, reserved, err = readReserved(&deadlineReader{c, bodyReader(c.reader, h)}, h.ContentLength, int64(maxBytes), c.acceptor.bodies)
 	switch {
 	case errors.Is(err, errBodyMemory):
-		b.release()
-		return nil, &requestError{http.StatusServiceUnavailable, err}
+		return nil, 0, &requestError{http.StatusServiceUnavailable, err}
+	case errors.Is(err, errBodyTooLarge):
+		return nil, 0, &requestError{http.StatusRequestEntityTooLarge, err}
 	case err != nil:
-		b.release()
-		return nil, c.classifyReadError(err)
-	case len(body) > maxBytes:
-		b.release()
-		return nil, &requestError{http.StatusRequestEntityTooLarge, trace.LimitExceeded("the request body has more than %d bytes", maxBytes)}
-	case h.ContentLength > int64(len(body)):
-		b.release()
-		return nil, trace.Wrap(io.ErrUnexpectedEOF)
+		return nil, 0, c.classifyReadError(err)
 	}
-	return body, nil
+	return body, reserved, nil
 }
 
 // classifyReadError returns a requestError if the client sent an invalid, too long
--- a/internal/connection/acceptor/reader.go
+++ b/internal/connection/acceptor/reader.go
@@ -5,15 +5,18 @@
 	"bytes"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
 	"golang.org/x/net/http/httpguts"
 
+	"oriolecourse.example/oriolecourse/internal/connection/reserver"
 	"oriolecourse.example/oriolecourse/internal/connection/scanner"
 )
 
+// errBodyTooLarge is returned for a body that exceeds its limit.
+var errBodyTooLarge = trace.LimitExceeded("the request body exceeds its size limit")
+
 // readHead reads the head of a request. Empty lines before it are skipped (RFC 9112, 2.2).
 func readHead(r *bufio.Reader, maxBytes int) ([]byte, error) {
 	head, err := scanner.ReadHead(r, maxBytes)
@@ -64,21 +67,43 @@
 	return r.body.Read(p)
 }
 
-// memoryWriter adds the number of bytes written to it to the total of all bodies.
-type memoryWriter struct {
-	total    *atomic.Int64
-	maxTotal int64
-	written  int64
-}
+// firstBufferBytes is the size of the first buffer for a body of unknown length.
+const firstBufferBytes = 4 << 10
 
-// Write implements io.Writer. It fails if the total exceeds maxTotal.
-func (c *memoryWriter) Write(p []byte) (int, error) {
-	c.written += int64(len(p))
-	if c.total.Add(int64(len(p))) > c.maxTotal {
-		return 0, errBodyMemory
+// readReserved reads a body of at most maxBytes into memory that it takes from m. The
+// length is -1 if it is unknown; memory for a known length is taken before anything is
+// read. It returns the body and the bytes that it has taken, none if it fails.
+func readReserved(body io.Reader, length, maxBytes int64, m *reserver.Reserver) ([]byte, int64, error) {
+	// One byte more shows that a body of unknown length exceeds maxBytes.
+	size := min(firstBufferBytes, maxBytes+1)
+	if length >= 0 {
+		size = length
+	}
+	if !m.Take(size) {
+		return nil, 0, errBodyMemory
+	}
+	content := make([]byte, 0, size)
+	for {
+		n, err := io.ReadFull(body, content[len(content):cap(content)])
+		content = content[:len(content)+n]
+		switch isFull := len(content) == cap(content); {
+		case length < 0 && (err == io.EOF || err == io.ErrUnexpectedEOF), length >= 0 && isFull:
+			return content, size, nil
+		case err == nil && int64(len(content)) <= maxBytes:
+		case err == nil:
+			m.Release(size)
+			return nil, 0, errBodyTooLarge
+		default:
+			m.Release(size)
+			return nil, 0, err
+		}
+		larger := min(2*size, maxBytes+1)
+		if !m.Take(larger) {
+			m.Release(size)
+			return nil, 0, errBodyMemory
+		}
+		content = append(make([]byte, 0, larger), content...)
+		m.Release(size)
+		size = larger
 	}
-	return len(p), nil
 }
-
-// release subtracts the written bytes from the total.
-func (c *memoryWriter) release() { c.total.Add(-c.written) }
--- a/internal/connection/exchanger/body.go
+++ b/internal/connection/exchanger/body.go
@@ -18,6 +18,14 @@
 	// maxSkippedBytes bounds the body of a response to another request, which is read only
 	// to find the next response.
 	maxSkippedBytes = 1 << 20
+	// maxStreamBytes bounds the body of a response that is passed on while it arrives, the
+	// greatest that users need.
+	maxStreamBytes = 64 << 20
+	// firstPartBytes is how much of a body is read before the response is passed on. Until
+	// then, the request may be retried. Smaller responses are passed on as a whole.
+	firstPartBytes = 256 << 10
+	// minPartBytes is how much is read if there is no memory for firstPartBytes.
+	minPartBytes = 32 << 10
 )
 
 // errTooLarge is returned for a body that exceeds its limit.
@@ -78,14 +86,41 @@
 	if length > maxBytes {
 		return nil, errTooLarge
 	}
-	content, err := io.ReadAll(io.LimitReader(body, maxBytes+1))
-	if err != nil {
-		return nil, trace.Wrap(err, "the body of the target's response is incomplete")
-	}
-	if int64(len(content)) > maxBytes {
+	content, err := readUpTo(body, length, maxBytes+1)
+	if err == nil && int64(len(content)) > maxBytes {
 		return nil, errTooLarge
 	}
-	return content, nil
+	return content, err
+}
+
+// readUpTo reads a body to its end, but at most maxBytes.
+func readUpTo(body io.Reader, length, maxBytes int64) ([]byte, error) {
+	b := &bytes.Buffer{}
+	if length >= 0 {
+		// ReadFrom needs some free space to see the end of the body.
+		b.Grow(int(min(length, maxBytes)) + bytes.MinRead)
+	}
+	_, err := b.ReadFrom(io.LimitReader(body, maxBytes))
+	return b.Bytes(), trace.Wrap(err, "the body of the target's response is incomplete")
+}
+
+// readFirst reads the body of a response to a request that streams: all of it, or a first
+// part. The part is smaller while there is little memory.
+func (c *conn) readFirst(body io.Reader, length int64) (content []byte, complete bool, err error) {
+	if length > maxStreamBytes {
+		return nil, false, errTooLarge
+	}
+	m, size := c.exchanger.Memory, int64(firstPartBytes)
+	if m != nil && !m.Take(size) {
+		size = minPartBytes
+		m.Force(size)
+	}
+	if m != nil {
+		defer m.Release(size)
+	}
+	content, err = readUpTo(body, length, size+1)
+	// Of a longer body, size+1 bytes have been read.
+	return content, int64(len(content)) <= size, err
 }
 
 // skipBody reads and discards the body of a response to another request.
--- a/internal/connection/exchanger/conn.go
+++ b/internal/connection/exchanger/conn.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -20,7 +22,7 @@
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
 )
 
-// maxResponseBytes bounds the body of a response, which is held in memory as a whole.
+// maxResponseBytes bounds the body of a response that is held in memory as a whole.
 const maxResponseBytes = 16 << 20
 
 // maxResponses bounds the responses that are read for one request. Interim
@@ -45,14 +47,21 @@
 	// NonIdempotent means that the request must not run twice. It is sent only on a
 	// connection that is new or received a response within maxNonIdempotentIdle.
 	NonIdempotent bool
+	// Stream means that the caller takes the rest of a large response from Response.Rest.
+	// Responses with a status of 500 or above, and those to requests that were not executed,
+	// are read as a whole.
+	Stream bool
+	// MaxResponseBytes bounds a body that is read as a whole; 0 means maxResponseBytes.
+	MaxResponseBytes int64
 	// NewConnection means that the request is sent on a new connection.
 	NewConnection bool
 	// MaxConnections bounds the open connections to the target.
 	MaxConnections int
 }
 
-// Send sends a request to a target once and reads the complete response. The error
-// is nil exactly when the effect is Done or NotExecuted.
+// Send sends a request to a target once and reads the response: the complete one, or the
+// first part if the request streams. The context applies until the rest is closed. The
+// error is nil exactly when the effect is Done or NotExecuted.
 func (x *Exchanger) Send(ctx context.Context, target netip.AddrPort, q *Request) (*sender.Response, sender.Effect, error) {
 	c, err := x.acquire(ctx, target, q)
 	if err != nil {
@@ -64,6 +73,10 @@
 	if first {
 		x.recordContact(ctx, target, err)
 	}
+	if err == nil && response.Rest != nil {
+		response.Rest.(*rest).stop = stop
+		return response, effect, nil
+	}
 	if !stop() || err != nil || !c.reusable {
 		c.close()
 	} else {
@@ -127,9 +140,9 @@
 func (c *conn) exchange(q *Request) (*sender.Response, sender.Effect, error) {
 	c.reusable = false
 	written := make(chan error, 1)
-	encoded := q.encode()
-	if len(encoded) <= maxSyncWriteBytes {
-		_, err := c.socket.Write(encoded)
+	head := q.encodeHead()
+	if len(head)+len(q.Body) <= maxSyncWriteBytes {
+		_, err := c.socket.Write(append(head, q.Body...))
 		written <- err
 		if err != nil {
 			// The target may have received part of the request, or a short one completely.
@@ -138,21 +151,30 @@
 	} else {
 		// A target may respond before it has read a long body.
 		go func() {
-			_, err := c.socket.Write(encoded)
+			all := net.Buffers{head, q.Body}
+			_, err := all.WriteTo(c.socket)
 			written <- err
 		}()
 	}
+	// If the target responds early, the connection is closed, so the rest of the body is
+	// not sent.
+	isWritten := func() bool {
+		select {
+		case err := <-written:
+			return err == nil
+		default:
+			return false
+		}
+	}
 	response, reusable, err := c.readMatchingResponse(q)
 	if err != nil {
 		return nil, sender.Lost, err
 	}
-	select {
-	case err := <-written:
-		c.reusable = reusable && err == nil
-	default:
-		// The target responded early. The connection is closed, so the rest of the
-		// body is not sent.
+	if response.Rest != nil {
+		response.Rest.(*rest).reusable = func() bool { return reusable && isWritten() }
+		return response, sender.Done, nil
 	}
+	c.reusable = reusable && isWritten()
 	if q.NotExecuted(response) {
 		return response, sender.NotExecuted, nil
 	}
@@ -163,9 +185,9 @@
 // response is read. It fits the socket buffers of a connection.
 const maxSyncWriteBytes = 16 << 10
 
-// encode returns the request as HTTP/1.1. It computes the Content-Length from the
-// body.
-func (q *Request) encode() []byte {
+// encodeHead returns the head of the request as HTTP/1.1. It computes the Content-Length
+// from the body.
+func (q *Request) encodeHead() []byte {
 	b := &bytes.Buffer{}
 	b.WriteString(q.Method + " " + q.Path + " HTTP/1.1\r\nHost: " + q.Host + "\r\n")
 	for name, values := range q.Header {
@@ -180,7 +202,6 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(q.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(q.Body)
 	return b.Bytes()
 }
 
@@ -205,13 +226,13 @@
 			matched = false
 			continue
 		}
-		content, err := readBody(body, length, maxResponseBytes)
+		response, err := c.readMatching(q, parsed, body, length)
 		if err != nil {
 			return nil, false, err
 		}
-		c.updateExpiry(parsed.Header, time.Now())
-		acceptor.StripHopByHop(parsed.Header)
-		response := &sender.Response{Status: parsed.StatusCode, Header: parsed.Header, Body: content}
+		if response.Rest != nil {
+			return response, matched && !parsed.Close, nil
+		}
 		if !matched || parsed.Close || c.reader.Buffered() > 0 {
 			return response, false, nil
 		}
@@ -221,6 +242,28 @@
 	return nil, false, trace.BadParameter("the target sent too many interim responses or responses to other requests")
 }
 
+// readMatching reads the body of the response to a request, or its first part.
+func (c *conn) readMatching(q *Request, parsed *http.Response, body io.Reader, length int64) (*sender.Response, error) {
+	keepAlive := parsed.Header.Get("Keep-Alive")
+	acceptor.StripHopByHop(parsed.Header)
+	response := &sender.Response{Status: parsed.StatusCode, Header: parsed.Header}
+	complete, err := true, error(nil)
+	if q.Stream && parsed.StatusCode < http.StatusInternalServerError && !q.NotExecuted(response) {
+		response.Body, complete, err = c.readFirst(body, length)
+	} else {
+		response.Body, err = readBody(body, length, cmp.Or(q.MaxResponseBytes, maxResponseBytes))
+	}
+	if err != nil {
+		return nil, err
+	}
+	if !complete {
+		response.Length = length
+		response.Rest = &rest{conn: c, body: body, left: maxStreamBytes - int64(len(response.Body)), keepAlive: keepAlive}
+	}
+	c.updateExpiry(keepAlive, time.Now())
+	return response, nil
+}
+
 // isMismatched reports whether a response belongs to another request. A response
 // that does not repeat the identifier is trusted if the connection has carried no
 // other request or if the request is idempotent.
@@ -234,9 +277,9 @@
 
 // updateExpiry sets how long the connection may stay idle, from the Keep-Alive
 // header of a response.
-func (c *conn) updateExpiry(h http.Header, now time.Time) {
+func (c *conn) updateExpiry(keepAlive string, now time.Time) {
 	c.lastResponse, c.expires = now, now.Add(defaultIdleTimeout)
-	for p := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+	for p := range strings.SplitSeq(keepAlive, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(p), "=")
 		if seconds, err := strconv.Atoi(value); err == nil && name == "timeout" {
 			timeout := time.Duration(seconds) * time.Second
--- a/internal/connection/exchanger/exchanger.go
+++ b/internal/connection/exchanger/exchanger.go
@@ -11,6 +11,8 @@
 
 	"github.com/gravitational/trace"
 	"golang.org/x/sys/unix"
+
+	"oriolecourse.example/oriolecourse/internal/connection/reserver"
 )
 
 const (
@@ -43,6 +45,8 @@
 type Exchanger struct {
 	// LocalAddress is the address from which targets are reached; the zero value means any.
 	LocalAddress netip.Addr
+	// Memory counts the first parts of streamed responses. It may be nil.
+	Memory *reserver.Reserver
 	// OnConnect is called for every new connection. It may be nil.
 	OnConnect func(target netip.AddrPort)
 	// OnContact is called with the outcome of the first exchange of every connection that
--- a/internal/connection/sender/sender.go
+++ b/internal/connection/sender/sender.go
@@ -54,11 +54,18 @@
 	MaxResponseBytes int64
 }
 
-// Response is the complete response of a target.
+// Response is the response of a target.
 type Response struct {
 	Status int
 	Header http.Header
-	Body   []byte
+	// Body is the complete body, or its first part if Rest is set.
+	Body []byte
+	// Rest is what follows Body, or nil. Only the exchanger sets it, for requests that ask
+	// for it. It ends with io.EOF only if the body is complete, and must be closed.
+	Rest io.ReadCloser
+	// Length is the length of the body with its rest, or -1 if it is unknown. It is set
+	// only with Rest.
+	Length int64
 }
 
 // Sender sends requests to targets. Its fields must be set before the first use.
--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -19,6 +19,7 @@
 
 	"oriolecourse.example/oriolecourse/internal/connection/acceptor"
 	"oriolecourse.example/oriolecourse/internal/connection/framer"
+	"oriolecourse.example/oriolecourse/internal/connection/reserver"
 	"oriolecourse.example/oriolecourse/internal/process/adopter"
 	"oriolecourse.example/oriolecourse/internal/process/detector"
 	"oriolecourse.example/oriolecourse/internal/process/director"
@@ -50,9 +51,14 @@
 	// between two queries.
 	handlerHeaderTimeout = time.Second
 	handlerIdleTimeout   = 10 * time.Second
-	// bodyMemoryShare is the share of Options.MemoryBytes that request bodies may use.
-	// Responses, documents and connections need memory too.
-	bodyMemoryShare = 0.25
+	// memoryShare is the share of Options.MemoryBytes that the bodies of requests and
+	// responses may use. Documents, connections and garbage need memory too.
+	memoryShare = 0.5
+	// requestMemoryShare and aheadMemoryShare are the parts for request bodies and for what
+	// is read ahead of slow clients. Their sum is less than memoryShare, so that neither
+	// leaves other requests without room.
+	requestMemoryShare = 0.35
+	aheadMemoryShare   = 0.1
 	// reservedFiles is the number of file descriptors that are not used for client
 	// connections. They are left for connections to targets, peers and the platform,
 	// and for Options.Handlers.
@@ -128,6 +134,8 @@
 	// limitOwners holds the owners of the targets that name limits.
 	limitOwners limiter.Owners
 	acceptor    *acceptor.Acceptor
+	// memory counts the bodies of requests and responses.
+	memory *reserver.Reserver
 	// startTime is the time at which New was called.
 	startTime time.Time
 	// leaving is set once shutdown has begun.
@@ -149,10 +157,13 @@
 	i.tables = &adopter.Adopter[router.Table]{Check: checkTable, OnChange: i.tableChanged, OnReject: i.documentRejected}
 	i.lists = &adopter.Adopter[registrar.List]{Check: checkList, OnChange: i.listChanged, OnReject: i.documentRejected}
 	i.registrar = registrar.New(i.runChanged)
+	share := func(part float64) int64 { return int64(part * float64(o.MemoryBytes)) }
+	i.memory = reserver.New(share(memoryShare), nil)
 	i.seeker = &seeker.Seeker{Random: rand.IntN}
 	i.forwarder = forwarder.New(forwarder.Options{
 		Dialect: o.Dialect, Zone: o.Zone, LocalAddress: o.TargetsFrom, Budget: o.Budget,
-		Table: i.tables.Current, InstanceCount: func() int { return int(i.instanceCount.Load()) },
+		Memory: reserver.New(share(aheadMemoryShare), i.memory),
+		Table:  i.tables.Current, InstanceCount: func() int { return int(i.instanceCount.Load()) },
 		SpreadRumor: i.spreadRumor, OnTargetReplaced: i.targetReplaced, CanSearch: i.canSearch, Search: i.search,
 		LimitOwner: i.limitOwner, AskPermit: i.askPermit, SpreadLimit: i.spreadLimit,
 		OnCutOff: i.cutOffChanged, CanRelay: i.canRelay, Relay: i.relay,
@@ -177,7 +188,7 @@
 	i.syncer.Prepare()
 	i.acceptor = &acceptor.Acceptor{
 		Handle: i.forwarder.Serve, Limits: i.limits,
-		MaxBodyMemory: int64(bodyMemoryShare * float64(o.MemoryBytes)),
+		MaxBodyMemory: share(requestMemoryShare), Memory: i.memory,
 		// If few file descriptors are allowed, clients still get half of them.
 		MaxConnections: max(o.MaxFiles-reservedFiles, o.MaxFiles/2),
 		OnError:        i.clientFailed,
--- a/internal/process/composer/gauges.go
+++ b/internal/process/composer/gauges.go
@@ -24,6 +24,7 @@
 	set(s, "ready", ready)
 	set(s, "client_connections", i.acceptor.OpenConnections())
 	set(s, "client_requests", i.acceptor.PendingRequests())
+	s.Gauge("body_bytes").Update(float64(i.memory.Held()))
 	set(s, "target_connections", i.forwarder.Connections())
 	set(s, "targets_limited", i.forwarder.LimitedTargets())
 	if t := i.tables.Current(); t != nil {
--- a/internal/process/forwarder/counters.go
+++ b/internal/process/forwarder/counters.go
@@ -20,6 +20,7 @@
 	probesFailed   tally.Counter
 	searches       tally.Counter
 	targetsOffered tally.Counter
+	streamed       tally.Counter
 	wait           tally.Histogram
 	latency        tally.Histogram
 	reportAge      tally.Histogram
@@ -34,6 +35,7 @@
 		probesFailed:   s.Counter("probes_failed"),
 		searches:       s.Counter("searches_abroad"),
 		targetsOffered: s.Counter("targets_lent"),
+		streamed:       s.Counter("responses_streamed"),
 		wait:           s.Histogram("wait_seconds", durationBuckets),
 		latency:        s.Histogram("latency_seconds", durationBuckets),
 		reportAge:      s.Histogram("report_age_seconds", durationBuckets),
@@ -65,6 +67,11 @@
 	c.scope.Tagged(map[string]string{"service": service, "result": result}).Counter("permits").Inc(1)
 }
 
+// countCut counts a response that was cut off after its first part, by cause.
+func (c *counters) countCut(service, cause string) {
+	c.scope.Tagged(map[string]string{"service": service, "cause": cause}).Counter("responses_cut").Inc(1)
+}
+
 // countContact counts the first exchange of a connection to a target.
 func (c *counters) countContact(answered bool) {
 	result := "unanswered"
--- a/internal/process/forwarder/execution.go
+++ b/internal/process/forwarder/execution.go
@@ -44,14 +44,22 @@
 	response *sender.Response
 	effect   sender.Effect
 	err      error
+	// attempt is the attempt's context.
+	attempt attempt
 }
 
 // execution makes the attempts at one request. Only the goroutine that calls run
 // uses its fields; other goroutines send on the channels.
 type execution struct {
 	*request
-	ctx        context.Context
-	cancel     context.CancelFunc
+	// base is the context of the request. It ends after the response has been read from its
+	// target. ctx ends with the attempts other than the one that a response streams from.
+	base, ctx context.Context
+	cancel    context.CancelFunc
+	// finish is called after the last byte of the response has been read.
+	finish func()
+	// streams means that the rest of the response is still being read.
+	streams    bool
 	decisions  chan decision
 	results    chan result
 	hedgeTimer *time.Timer
@@ -73,10 +81,10 @@
 	rejection *placer.Rejection
 }
 
-func newExecution(ctx context.Context, r *request) *execution {
+func newExecution(ctx context.Context, r *request, finish func()) *execution {
 	// No send on these channels blocks: a retry starts only when nothing else is in
 	// progress, and a hedge beside one attempt, so at most two values are outstanding.
-	e := &execution{request: r, decisions: make(chan decision, maxTargets+2), results: make(chan result, maxTargets+2)}
+	e := &execution{request: r, base: ctx, finish: finish, decisions: make(chan decision, maxTargets+2), results: make(chan result, maxTargets+2)}
 	e.ctx, e.cancel = context.WithCancel(ctx)
 	e.hedgeTimer = time.NewTimer(never)
 	return e
@@ -85,7 +93,7 @@
 // run makes the attempts and returns the response for the client.
 func (e *execution) run() (*acceptor.Response, outcome) {
 	defer e.hedgeTimer.Stop()
-	defer e.cancelRemaining()
+	defer e.end()
 	e.place(false)
 	for e.running+e.placing > 0 {
 		select {
@@ -146,14 +154,14 @@
 	e.running++
 	e.current = g
 	e.hedgeTimer.Reset(max(time.Duration(hedgeSlowdown*float64(g.Expected)), minHedgeDelay))
-	q := e.outgoing(g, now)
+	q, a := e.outgoing(g, now), e.newAttempt()
 	go func() {
 		if wait := e.service.permit(e.ctx, g.Target); wait > 0 {
-			e.results <- result{grant: g, sent: now, withheld: wait}
+			e.results <- result{grant: g, sent: now, withheld: wait, attempt: a}
 			return
 		}
-		response, effect, err := e.forwarder.exchanger.Send(e.ctx, g.Target.Address, q)
-		e.results <- result{grant: g, sent: now, response: response, effect: effect, err: err}
+		response, effect, err := e.forwarder.exchanger.Send(a.ctx, g.Target.Address, q)
+		e.results <- result{grant: g, sent: now, response: response, effect: effect, err: err, attempt: a}
 	}()
 }
 
@@ -166,6 +174,7 @@
 	return &exchanger.Request{
 		Method: e.Method, Path: e.RequestURI, Host: e.Host, Header: h, Body: e.Body,
 		IDHeader: d.RequestID, NotExecuted: d.NotExecuted, NonIdempotent: !e.route.Idempotent, MaxConnections: e.service.maxConnections(),
+		Stream: !e.isRelayed,
 	}
 }
 
@@ -174,6 +183,7 @@
 func (e *execution) handleResult(r result) *acceptor.Response {
 	now := time.Now()
 	if r.withheld > 0 {
+		r.attempt.end()
 		e.handleWithheld(r, now)
 		return nil
 	}
@@ -198,7 +208,7 @@
 	case sender.Done:
 		e.mayHaveRun = true
 		if status < http.StatusInternalServerError {
-			return clientResponse(r.response)
+			return e.clientResponse(r)
 		}
 		e.lastResponse = r.response
 	}
@@ -255,6 +265,7 @@
 	run := quarantiner.Run{Address: r.grant.Target.Address, Start: r.grant.Target.ID}
 	s := quarantiner.Service{Service: e.service.name}
 	if e.ctx.Err() != nil && r.err != nil {
+		r.attempt.end()
 		e.service.end(r.grant, placer.Canceled, nil, now)
 		return
 	}
@@ -285,11 +296,14 @@
 	case r.response.Status >= http.StatusInternalServerError:
 		ending = placer.Failed
 	}
-	if r.effect == sender.Done {
-		if rumor, cleared := f.quarantiner.RecordCompletion(s, e.fingerprint, now); cleared {
-			f.options.SpreadRumor(rumor, now)
-		}
+	if r.effect == sender.Done && r.response.Rest == nil {
+		e.recordCompletion(now)
+	}
+	if r.response != nil && r.response.Rest != nil {
+		e.service.report(r.grant, load, now)
+		return
 	}
+	r.attempt.end()
 	e.service.end(r.grant, ending, load, now)
 }
 
@@ -306,6 +320,14 @@
 	return &acceptor.Response{Status: http.StatusGatewayTimeout}, timedOut
 }
 
+// end ends what is still in progress except for the rest of the response.
+func (e *execution) end() {
+	e.cancelRemaining()
+	if !e.streams {
+		e.finish()
+	}
+}
+
 // cancelRemaining cancels the attempts and decisions that are still in progress. It
 // reports the end of each attempt to the placer, which then counts its slot as free.
 func (e *execution) cancelRemaining() {
@@ -319,6 +341,7 @@
 		}
 		for range running {
 			r := <-e.results
+			r.discard()
 			e.service.end(r.grant, placer.Canceled, nil, time.Now())
 		}
 	}()
@@ -329,7 +352,7 @@
 func (e *execution) conclude() (*acceptor.Response, outcome) {
 	switch {
 	case e.lastResponse != nil:
-		return clientResponse(e.lastResponse), failed
+		return &acceptor.Response{Status: e.lastResponse.Status, Header: e.lastResponse.Header, Body: e.lastResponse.Body}, failed
 	case e.isUnreached():
 		return nil, unreached
 	case e.mayHaveRun:
@@ -349,11 +372,6 @@
 	return e.allUnsent && !e.mayHaveRun && e.forwarder.options.CanRelay()
 }
 
-// clientResponse returns the response of a target in the form for the client.
-func clientResponse(r *sender.Response) *acceptor.Response {
-	return &acceptor.Response{Status: r.Status, Header: r.Header, Body: r.Body}
-}
-
 // effectNames holds the names of effects in logs and metrics.
 var effectNames = map[sender.Effect]string{
 	sender.Unsent: "unsent", sender.NotExecuted: "disowned", sender.Done: "done", sender.Lost: "lost",
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 
 	"oriolecourse.example/oriolecourse/internal/connection/acceptor"
 	"oriolecourse.example/oriolecourse/internal/connection/exchanger"
+	"oriolecourse.example/oriolecourse/internal/connection/reserver"
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
 	"oriolecourse.example/oriolecourse/internal/process/limiter"
 	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
@@ -70,6 +71,8 @@
 	// LocalAddress is the address from which targets are reached; the zero value means any.
 	LocalAddress netip.Addr
 	Budget       Budget
+	// Memory counts what is held of streamed responses.
+	Memory *reserver.Reserver
 	// Table returns the routing table in force, or nil before the first one.
 	Table func() *router.Table
 	// InstanceCount returns the number of instances that may be running, this one
@@ -140,7 +143,7 @@
 		services:    map[string]*service{},
 	}
 	f.budget.Store(&o.Budget)
-	f.exchanger.LocalAddress = o.LocalAddress
+	f.exchanger.LocalAddress, f.exchanger.Memory = o.LocalAddress, o.Memory
 	f.exchanger.OnConnect = func(netip.AddrPort) { f.counters.connections.Inc(1) }
 	f.exchanger.OnContact = f.recordContact
 	return f
--- a/internal/process/forwarder/request.go
+++ b/internal/process/forwarder/request.go
@@ -73,6 +73,9 @@
 	// earlier.
 	deadline    time.Time
 	fingerprint quarantiner.Fingerprint
+	// isRelayed means that another instance has relayed the request. The response is passed
+	// to it as a whole.
+	isRelayed bool
 	// mayHaveRun means that a target may have run the request.
 	mayHaveRun bool
 	logger     log.Logger
@@ -111,7 +114,7 @@
 		return f.finish(logger, "", malformed, now, &acceptor.Response{Status: http.StatusBadRequest})
 	}
 	r := &request{
-		Request: q, forwarder: f, route: route, version: version,
+		Request: q, forwarder: f, route: route, version: version, isRelayed: isRelayed,
 		service:  f.service(f.splitter.Pick(route)),
 		deadline: now.Add(min(timeout, route.Timeout)), logger: logger,
 	}
@@ -176,16 +179,20 @@
 func (r *request) admit(ctx context.Context) (*acceptor.Response, outcome) {
 	table, s := r.forwarder.quarantiner, quarantiner.Service{Service: r.service.name}
 	verdict, retryAfter := table.Admit(s, r.fingerprint, r.Arrived)
+	ctx, cancel := context.WithDeadline(ctx, r.deadline.Add(responseGrace))
+	finish := cancel
 	switch verdict {
 	case quarantiner.Quarantined, quarantiner.Busy:
+		cancel()
 		_ = level.Warn(r.logger).Log("msg", "held back", "verdict", verdict, "service", r.service.name, "return", retryAfter)
 		return r.forwarder.rejection(retryAfter), quarantined
 	case quarantiner.Isolated:
-		defer table.EndIsolation(s, r.fingerprint)
+		finish = func() {
+			cancel()
+			table.EndIsolation(s, r.fingerprint)
+		}
 	}
-	ctx, cancel := context.WithDeadline(ctx, r.deadline.Add(responseGrace))
-	defer cancel()
-	return newExecution(ctx, r).run()
+	return newExecution(ctx, r, finish).run()
 }
 
 // ticket describes the request to the placer.
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -23,6 +23,8 @@
 	// probeTimeout bounds a probe. It is longer than the placer waits for a report,
 	// so that the connection to a target that responds late stays open.
 	probeTimeout = 150 * time.Millisecond
+	// maxProbeBytes bounds the body of the response to a probe, which is not used.
+	maxProbeBytes = 64 << 10
 	// connectionShare is the share of a target's connections that the known instances
 	// use together. Instances that are not known here may use the rest.
 	connectionShare = 0.7
@@ -206,6 +208,17 @@
 	s.step(now)
 }
 
+// report passes the load that a target reported, if any, to the placer.
+func (s *service) report(g *placer.Grant, load *placer.Load, now time.Time) {
+	if load == nil {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.placer.Report(g.Target.ID, *load, now, now)
+	s.step(now)
+}
+
 // withhold tells the placer that a granted request was not sent, because its target takes
 // no further request for some time.
 func (s *service) withhold(g *placer.Grant, wait time.Duration, now time.Time) {
@@ -255,7 +268,7 @@
 	return &exchanger.Request{
 		Method: http.MethodGet, Path: path, Host: t.Address.String(),
 		IDHeader: s.forwarder.options.Dialect.RequestID, NotExecuted: func(*sender.Response) bool { return false },
-		MaxConnections: s.maxConnections(),
+		MaxConnections: s.maxConnections(), MaxResponseBytes: maxProbeBytes,
 	}
 }
 
--- a/internal/process/journaler/lines.go
+++ b/internal/process/journaler/lines.go
@@ -47,6 +47,7 @@
 	{"not placed", "No target was chosen for a request.", []string{"request", "service", "reason", "extra", "waited", "return"}},
 	{"second try", "A request takes much longer than expected; the instance looks for another target for a hedge (a copy of the request).", []string{"request", "service", "after"}},
 	{"attempt failed", "A target sent no complete response, did not execute the request, or responded with a status of 500 or above.", []string{"request", "service", "target", "effect", "status", "took", "err"}},
+	{"response cut", "A large response ended early after its first part was passed to the client.", []string{"request", "service", "target", "cause", "took", "err"}},
 	{"held back", "A request that is suspected of crashing targets was not sent to one.", []string{"request", "verdict", "service", "return"}},
 	{"no route", "No route matches a request.", []string{"request", "host", "path", "version"}},
 	{"malformed request", "A request has no identifier, or its deadline is not a valid number of milliseconds.", []string{"request", "host", "path", "err"}},
@@ -94,7 +95,7 @@
 	{"took", "time from the arrival of the request, or from the start of the attempt, to the end"},
 	{"state, before", "state after the change and state before it; before is also the limit before the change"},
 	{"limit", "requests per second that the target takes from all instances together; +Inf without a limit"},
-	{"cause", "who reported it, or what caused it"},
+	{"cause", "who reported it, or what caused it; for a response that was cut off: client (it has left or does not read), deadline, unread (the target broke off what a slow client left unread), target"},
 	{"err", "the error"},
 }
 
