Cold targets: the owner of a run counts the requests of its warm-up

Cause: each instance preferred warm targets by its own reports, and nothing bounded what the fleet sends to a cold one. As soon as the warm targets are full, a cold one gets its usual share. Change: for as long as a run is cold, each request to it needs a permit of the run's owner, which counts at the rate that the service tolerates (warmupPerS), or less if three owners at once, in views that differ, could exceed warmupOvershoot x warmupPerS + warmupSlack. A request for a permit carries that rate as a fact: an owner that knows nothing of warm-ups takes it as a limit, which ends with the first response that names none. No message has another field. Probes need no permit. A refused request goes elsewhere at once; an instance that is refused again asks less often. Non-idempotent requests go to warm targets first; an unused cold target gets a request of its owner. Without warmupPerS or warmupOvershoot nothing is bounded.

--- a/internal/process/composer/documents.go
+++ b/internal/process/composer/documents.go
@@ -84,8 +84,10 @@
 	return nil
 }
 
-func (i *Instance) tableChanged(t *router.Table, s adopter.Stamp, _ time.Time) {
+func (i *Instance) tableChanged(t *router.Table, s adopter.Stamp, now time.Time) {
 	_ = level.Info(i.options.Logger).Log("msg", "settings in force", "version", s, "routes", len(t.Routes), "services", len(t.Services))
+	// The bound on a cold target depends on its service.
+	i.updateTargets(now)
 }
 
 func (i *Instance) listChanged(l *registrar.List, s adopter.Stamp, now time.Time) {
--- a/internal/process/forwarder/limits.go
+++ b/internal/process/forwarder/limits.go
@@ -21,6 +21,10 @@
 // decides at once.
 const permitTimeout = 50 * time.Millisecond
 
+// warmupHold is how long the owner of a run counts it as cold after another instance has
+// asked for a permit of its warm-up. Each further request extends it.
+const warmupHold = time.Second
+
 // minWithheld is the shortest time for which a request that was not sent is kept from its
 // target.
 const minWithheld = time.Millisecond
@@ -84,15 +88,14 @@
 	if wait, closed := s.closed(t, now); closed {
 		return wait
 	}
-	if f.limiter.Rate(t.ID) == limiter.Unlimited {
+	if f.limiter.Bound(t.ID, now) == limiter.Unlimited {
 		return 0
 	}
-	known := f.limiter.Fact(t.ID, now)
+	known := f.limiter.Claim(t.ID, now)
 	owner, own := f.options.LimitOwner(t.ID, t.Zone)
 	if own {
-		p, _ := f.limiter.Grant(t.ID, known, owner.Share, now)
-		f.counters.countPermit(s.name, p.Wait == 0)
-		return p.Wait
+		p, _ := f.limiter.Grant(t.ID, f.limiter.Fact(t.ID, now), owner.Share, now)
+		return s.recordPermit(t, p)
 	}
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
@@ -101,8 +104,19 @@
 		_ = level.Debug(f.options.Logger).Log("msg", "owner silent", "target", t.ID, "peer", owner.Peer, "err", err)
 		p = limiter.Permit{Wait: limiter.NotOwnerWait, Fact: known}
 	}
-	f.ReceiveLimit(s.name, t.ID, p.Fact, time.Now())
-	f.counters.countPermit(s.name, p.Wait == 0)
+	if p.Fact.Rate != known.Rate || !f.isWarmupRate(p.Fact.Rate) {
+		f.ReceiveLimit(s.name, t.ID, p.Fact, time.Now())
+	}
+	return s.recordPermit(t, p)
+}
+
+// recordPermit records the answer to a request for a permit and returns the time until the
+// next one.
+func (s *service) recordPermit(t placer.Target, p limiter.Permit) time.Duration {
+	s.forwarder.counters.countPermit(s.name, p.Wait == 0)
+	if p.Wait == 0 {
+		s.forwarder.admitter.Run(t.ID).Granted()
+	}
 	return p.Wait
 }
 
@@ -113,6 +127,10 @@
 	if !own {
 		return limiter.Permit{Wait: limiter.NotOwnerWait, Fact: known}
 	}
+	if f.isWarmupRate(known.Rate) {
+		f.limiter.HoldWarmup(key, limiter.Warmup{Rate: known.Rate, Until: now.Add(warmupHold)})
+		known = f.limiter.Fact(key, now)
+	}
 	p, changed := f.limiter.Grant(key, known, owner.Share, now)
 	if changed {
 		f.updateLimited(key, now)
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -117,7 +117,10 @@
 
 func (s *service) setTargets(usable []registrar.UsableRun, now time.Time) {
 	targets := make([]placer.Target, 0, len(usable))
-	for _, u := range usable {
+	rate := s.forwarder.warmupRate(s.name)
+	for i := range usable {
+		u := &usable[i]
+		s.setWarmup(u, rate, now)
 		targets = append(targets, placer.Target{
 			ID: u.Key(), Name: u.Name, Address: u.Address, Zone: u.Zone, Slots: u.Slots, WarmupEnd: u.WarmupEnd,
 		})
@@ -210,7 +213,7 @@
 func (s *service) withhold(g *placer.Grant, wait time.Duration, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.placer.Withhold(g.Target.ID, g.Ticket, now.Add(wait))
+	s.placer.Withhold(g.Target.ID, g.Ticket, now.Add(wait), now)
 	s.step(now)
 }
 
--- a/internal/process/limiter/limiter.go
+++ b/internal/process/limiter/limiter.go
@@ -68,6 +68,9 @@
 	answered time.Time
 	// told is the rate that the other instances were told.
 	told float64
+	// warmup is the bound on requests while the run is cold, as this instance knows it, and
+	// held is the one that others know, by their requests for permits.
+	warmup, held Warmup
 	// next is the time of the next permit of this instance; zero before the first request
 	// for one.
 	next time.Time
@@ -169,10 +172,10 @@
 	changed = l.receive(key, f, now)
 	known := l.limits[key]
 	p.Fact = l.fact(key, now)
-	if known == nil || known.rate == Unlimited {
+	if known == nil || known.bound(now) == Unlimited {
 		return p, changed
 	}
-	interval := time.Duration(float64(time.Second) / max(usedShare*share*known.rate, minRate))
+	interval := time.Duration(float64(time.Second) / max(usedShare*share*known.bound(now), minRate))
 	if known.next.IsZero() {
 		known.next = known.observed.Add(interval)
 	}
@@ -191,12 +194,13 @@
 }
 
 // NeedsRecheck reports whether a limited run has not responded to this instance for
-// recheckInterval, so that its limit may have ended unnoticed.
+// recheckInterval, so that its limit may have ended unnoticed, or a cold one, so that it may
+// be unused.
 func (l *Limiter) NeedsRecheck(key string, now time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	known := l.limits[key]
-	return known != nil && known.rate != Unlimited && now.Sub(known.answered) > recheckInterval
+	return known != nil && known.bound(now) != Unlimited && now.Sub(known.answered) > recheckInterval
 }
 
 // Retain forgets the limits of runs that are not listed.
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -10,6 +10,10 @@
 // later than what other instances say of the run.
 const retention = time.Minute
 
+// maxDoublings bounds how often the wait for a permit of a cold run doubles. A warm-up lasts
+// some seconds and the first wait is some tenths of one.
+const maxDoublings = 3
+
 // Use is what a target is to be used for.
 type Use int
 
@@ -47,9 +51,10 @@
 // Run is the state of one run of a target. It is safe for concurrent use.
 type Run struct {
 	limited atomic.Bool
-	// closedUntil is when the limit or the warm-up allows the next request. It has no
-	// meaning for a run that is neither limited nor cold.
+	// closedUntil is when the limit or the warm-up may allow the next request.
 	closedUntil moment
+	// refusals counts the permits that were refused since the last one that was granted.
+	refusals atomic.Int32
 	// pausedUntil is when the run takes messages of this instance again.
 	pausedUntil moment
 	// coldUntil is when the run takes requests without permits again.
@@ -129,21 +134,12 @@
 		return Answer{Admitted: true, LastChoice: limited}
 	case limited && u != Request:
 		return Answer{}
-	case limited && r.closedUntil.isAfter(now):
+	case u != Probe && r.closedUntil.isAfter(now):
 		return Answer{Opens: r.closedUntil.time()}
-	case cold && u != Probe && r.closedUntil.isAfter(now):
-		return Answer{Opens: earlier(r.closedUntil.time(), r.coldUntil.time())}
 	}
 	return Answer{Admitted: true, LastChoice: limited, Cold: cold}
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // SetLimited records whether the run names a limit on the messages that it takes from all
 // instances. A limited run is the last choice and is not probed.
 func (r *Run) SetLimited(limited bool) {
@@ -151,8 +147,24 @@
 	r.closedUntil.set(time.Time{})
 }
 
-// Close records that no permit for a request to the run is left until the given time.
-func (r *Run) Close(until time.Time) { r.closedUntil.set(until) }
+// Close records that the run got no permit and that there is none before the given time. It
+// changes nothing for a run that is closed. A cold run stays closed longer with each refusal,
+// up to the end of its warm-up, so that the instances that want one of the few permits ask
+// less often.
+func (r *Run) Close(until, now time.Time) {
+	if r.closedUntil.isAfter(now) {
+		return
+	}
+	if !r.limited.Load() && r.Cold(now) {
+		wait := until.Sub(now) << min(r.refusals.Load(), maxDoublings)
+		r.refusals.Add(1)
+		until = now.Add(min(wait, r.coldUntil.time().Sub(now)))
+	}
+	r.closedUntil.set(until)
+}
+
+// Granted records that a request to the run got a permit.
+func (r *Run) Granted() { r.refusals.Store(0) }
 
 // Pause records that the run takes no message of this instance until the given time. It
 // does not shorten an earlier pause, and reports whether the run was not paused before.
@@ -167,10 +179,15 @@
 // SetCold records until when each request to the run needs a permit of its warm-up; the
 // zero time means never. It reports whether that has changed.
 func (r *Run) SetCold(until time.Time) (changed bool) {
-	if r.coldUntil.time().Equal(until) {
+	before := r.coldUntil.time()
+	if before.Equal(until) {
 		return false
 	}
 	r.coldUntil.set(until)
+	if until.Before(before) && !r.limited.Load() {
+		r.closedUntil.set(time.Time{})
+	}
+	r.refusals.Store(0)
 	return true
 }
 
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -235,7 +235,7 @@
 
 // Withhold records that a granted request was not sent, because the target takes no
 // request until the given time.
-func (p *Placer) Withhold(id string, t *Ticket, until time.Time) {
+func (p *Placer) Withhold(id string, t *Ticket, until, now time.Time) {
 	s := p.targets[id]
 	if s == nil {
 		return
@@ -245,7 +245,7 @@
 			p.starts = slices.Delete(p.starts, k, k+1)
 		}
 	}
-	s.admission.Close(until)
+	s.admission.Close(until, now)
 }
 
 // ReportSlow records that a request takes much longer at a target than expected. It
