--- a/internal/process/composer/gauges.go
+++ b/internal/process/composer/gauges.go
@@ -29,6 +29,9 @@
 	paused, cold := i.forwarder.RestrictedTargets(now)
 	set(s, "targets_paused", paused)
 	set(s, "targets_cold", cold)
+	emptied := i.registrar.EmptiedZones()
+	set(s, "zones_emptied", len(emptied))
+	set(s, "emptied_requests", i.forwarder.RequestsInZones(emptied...))
 	if t := i.tables.Current(); t != nil {
 		s.Gauge("settings_version").Update(float64(t.Version))
 	}
