Cold targets: fleets that fall apart completely

Cause: the least rate of a permit's owner, and the permit that a new owner grants at once, are harmless for a limit over 4 s, but 472 instances that see nobody would exceed a bound in one second. Change: an instance that begins to count a cold run grants nothing in the first interval, and the rate of a warm-up has no floor; a share that rises takes effect at once. The variants quote the code as it is now, and five new ones break what targets say.

--- a/internal/process/forwarder/limits.go
+++ b/internal/process/forwarder/limits.go
@@ -128,7 +128,7 @@
 		return limiter.Permit{Wait: limiter.NotOwnerWait, Fact: known}
 	}
 	if f.isWarmupRate(known.Rate) {
-		f.limiter.HoldWarmup(key, limiter.Warmup{Rate: known.Rate, Until: now.Add(warmupHold)})
+		f.limiter.HoldWarmup(key, limiter.Warmup{Rate: known.Rate, Until: now.Add(warmupHold)}, now)
 		known = f.limiter.Fact(key, now)
 	}
 	p, changed := f.limiter.Grant(key, known, owner.Share, now)
--- a/internal/process/forwarder/warmups.go
+++ b/internal/process/forwarder/warmups.go
@@ -39,6 +39,6 @@
 	if rate != limiter.Unlimited && u.WarmupEnd.After(now) {
 		w = limiter.Warmup{Rate: rate, Until: u.WarmupEnd}
 	}
-	s.forwarder.limiter.SetWarmup(u.Key(), w)
+	s.forwarder.limiter.SetWarmup(u.Key(), w, now)
 	s.forwarder.admitter.Run(u.Key()).SetCold(w.Until)
 }
--- a/internal/process/limiter/limiter.go
+++ b/internal/process/limiter/limiter.go
@@ -175,12 +175,19 @@
 	if known == nil || known.bound(now) == Unlimited {
 		return p, changed
 	}
-	interval := time.Duration(float64(time.Second) / max(usedShare*share*known.bound(now), minRate))
-	if known.next.IsZero() {
-		known.next = known.observed.Add(interval)
+	interval := known.interval(share, now)
+	switch latest := now.Add(interval); {
+	case known.next.IsZero():
+		known.next = known.since().Add(interval)
+	case known.next.After(latest):
+		// The share of this instance, or the rate, has risen.
+		known.next = latest
 	}
 	if now.Before(known.next) {
 		p.Wait = known.next.Sub(now)
+		if known.bound(now) < known.rate {
+			p.Wait = min(p.Wait, maxWarmupWait)
+		}
 		return p, changed
 	}
 	if earliest := now.Add(-burstTime); known.next.Before(earliest) {
--- a/internal/process/limiter/warmup.go
+++ b/internal/process/limiter/warmup.go
@@ -13,8 +13,17 @@
 	Rate float64
 	// Until is when the run is warm; the zero time means that it is.
 	Until time.Time
+	// since is when this instance learned that the run is cold.
+	since time.Time
 }
 
+// maxWarmupWait bounds the wait for the next permit of a cold run. An owner with a small share
+// may see the rest of the fleet again by then.
+const maxWarmupWait = time.Second
+
+// maxInterval bounds the time between two permits of an instance with a small share.
+const maxInterval = time.Hour
+
 // WarmupRate returns the rate of permits for a cold target that tolerates a number of
 // requests per second, so that the fleet sends at most overshoot times that number, plus
 // slack, in any second. It is Unlimited if the target or the fleet has no such bound.
@@ -26,7 +35,7 @@
 }
 
 // SetWarmup records the bound on a run while it is cold. It replaces an earlier one.
-func (l *Limiter) SetWarmup(key string, w Warmup) {
+func (l *Limiter) SetWarmup(key string, w Warmup, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	known := l.limits[key]
@@ -36,18 +45,27 @@
 		}
 		known = l.add(key)
 	}
-	known.warmup = w
+	known.warmup = w.after(known.warmup, now)
+}
+
+// after returns the warm-up as it replaces another one.
+func (w Warmup) after(o Warmup, now time.Time) Warmup {
+	w.since = now
+	if now.Before(o.Until) {
+		w.since = o.since
+	}
+	return w
 }
 
 // HoldWarmup records that another instance knows that a run is cold.
-func (l *Limiter) HoldWarmup(key string, w Warmup) {
+func (l *Limiter) HoldWarmup(key string, w Warmup, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	known := l.limits[key]
 	if known == nil {
 		known = l.add(key)
 	}
-	known.held = w
+	known.held = w.after(known.held, now)
 }
 
 // Bound returns the number of messages per second that a run takes from all instances now,
@@ -71,6 +89,28 @@
 	return rate
 }
 
+// interval returns the time between two permits of an instance with a share of the bound. A
+// limit grants at least minRate; a warm-up ends by itself.
+func (k *limit) interval(share float64, now time.Time) time.Duration {
+	rate := usedShare * share * k.bound(now)
+	if k.bound(now) == k.rate {
+		rate = max(rate, minRate)
+	}
+	return time.Duration(min(float64(time.Second)/rate, float64(maxInterval)))
+}
+
+// since returns from when on this instance counts the messages to the run. An instance that
+// begins to count grants nothing at once: in a fleet that falls apart many begin.
+func (k *limit) since() time.Time {
+	last := k.observed
+	for _, w := range [...]Warmup{k.warmup, k.held} {
+		if w.since.After(last) {
+			last = w.since
+		}
+	}
+	return last
+}
+
 // Claim returns the fact that a request for a permit carries. For a cold run that names no
 // lower limit it is the rate of the warm-up: an owner that knows nothing of warm-ups takes
 // it as a limit, until a response of the run names none.
--- a/internal/standin/mutator/variants_test.go
+++ b/internal/standin/mutator/variants_test.go
@@ -30,7 +30,22 @@
 	{"TestTargetGetsNoMoreThanTheLimitThatItNames", "platform", []Edit{{
 		"internal/process/forwarder/limits.go", "s.placer.SetLimited(key, s.forwarder.limiter.Rate(key) != limiter.Unlimited)", "s.placer.SetLimited(key, false)",
 	}, {
-		"internal/process/forwarder/limits.go", "	if f.limiter.Rate(t.ID) == limiter.Unlimited {\n", "	if true {\n",
+		"internal/process/forwarder/limits.go", "	if f.limiter.Bound(t.ID, now) == limiter.Unlimited {\n", "	if true {\n",
+	}}},
+	{"TestFleetKeepsTheBoundOfAColdTarget", "internal/process/limiter", []Edit{{
+		"internal/process/limiter/owner.go", "Share: float64(visible) / float64(len(all))", "Share: 1",
+	}}},
+	{"TestColdTargetGetsNoMoreThanTheBound", "platform", []Edit{{
+		"internal/process/forwarder/limits.go", "	if f.limiter.Bound(t.ID, now) == limiter.Unlimited {\n", "	if f.limiter.Rate(t.ID) == limiter.Unlimited {\n",
+	}}},
+	{"TestTargetThatSaysThatItLeavesGetsNoRequest", "platform", []Edit{{
+		"internal/process/forwarder/statements.go", "	if stated.Leaving {\n", "	if false {\n",
+	}}},
+	{"TestPausedTargetGetsNothing", "platform", []Edit{{
+		"internal/process/forwarder/statements.go", "	if stated.Pause > 0 {\n", "	if false {\n",
+	}}},
+	{"TestPausedTargetIsLeftOut", "internal/request/placer", []Edit{{
+		"internal/request/admitter/admitter.go", "	case r.pausedUntil.isAfter(now):\n", "	case false:\n",
 	}}},
 	{"TestOverloadIsRejectedWithinTheLimitsOfAllTargets", "platform", []Edit{{
 		"internal/process/limiter/owner.go", "	visible := 0\n", "	visible := 0\n	if key != \"\" {\n		return Owner{Peer: self.Instance.Peer, Share: 1}\n	}\n",
@@ -44,7 +59,7 @@
 	{"TestReusedAddressGetsNoRequestOfThePreviousTarget", "platform", []Edit{{
 		"internal/process/forwarder/execution.go", "	h.Set(d.Target, g.Target.Name)\n", "",
 	}, {
-		"internal/process/forwarder/service.go", "name != \"\" && name != t.Name {", "name != \"\" && false {",
+		"internal/process/forwarder/links.go", "return name == \"\" || name == t.Name", "return true",
 	}}},
 	{"TestReaderIsReplacedWithinTwoSeconds", "internal/process/syncer", []Edit{{
 		"internal/process/syncer/schedule.go", "	confirmationTimeout = LongPollWait + 300*time.Millisecond\n", "	confirmationTimeout = LongPollWait + 2*time.Second\n",
