--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -128,9 +129,12 @@
 	lists     *adopter.Adopter[registrar.List]
 	registrar *registrar.Registrar
 	forwarder *forwarder.Forwarder
-	relayer   *relayer.Relayer
-	syncer    *syncer.Syncer
-	seeker    *seeker.Seeker
+	// targetsMutex orders the updates of the forwarder's targets, so that an older state of
+	// the registrar never replaces a newer one.
+	targetsMutex sync.Mutex
+	relayer      *relayer.Relayer
+	syncer       *syncer.Syncer
+	seeker       *seeker.Seeker
 	// limitOwners holds the owners of the targets that name limits.
 	limitOwners limiter.Owners
 	acceptor    *acceptor.Acceptor
@@ -157,6 +161,7 @@
 	i.tables = &adopter.Adopter[router.Table]{Check: checkTable, OnChange: i.tableChanged, OnReject: i.documentRejected}
 	i.lists = &adopter.Adopter[registrar.List]{Check: checkList, OnChange: i.listChanged, OnReject: i.documentRejected}
 	i.registrar = registrar.New(i.runChanged)
+	i.registrar.Warmup = i.warmup
 	share := func(part float64) int64 { return int64(part * float64(o.MemoryBytes)) }
 	i.memory = reserver.New(share(memoryShare), nil)
 	i.seeker = &seeker.Seeker{Random: rand.IntN}
@@ -164,7 +169,8 @@
 		Dialect: o.Dialect, Zone: o.Zone, LocalAddress: o.TargetsFrom, Budget: o.Budget,
 		Memory: reserver.New(share(aheadMemoryShare), i.memory),
 		Table:  i.tables.Current, InstanceCount: func() int { return int(i.instanceCount.Load()) },
-		SpreadRumor: i.spreadRumor, OnTargetReplaced: i.targetReplaced, CanSearch: i.canSearch, Search: i.search,
+		SpreadRumor: i.spreadRumor, OnTargetReplaced: i.targetReplaced,
+		OnTargetLeaving: i.targetLeaving, OnTargetWarmup: i.targetWarmup, CanSearch: i.canSearch, Search: i.search,
 		LimitOwner: i.limitOwner, AskPermit: i.askPermit, SpreadLimit: i.spreadLimit,
 		OnCutOff: i.cutOffChanged, CanRelay: i.canRelay, Relay: i.relay,
 		Logger: o.Logger, Scope: o.Scope,
@@ -200,7 +206,7 @@
 // Run runs the instance until the context ends and the instance has shut down, or
 // until a part of it fails.
 func (i *Instance) Run(ctx context.Context) error {
-	_ = level.Info(i.options.Logger).Log("msg", "started", "front", i.options.Front, "peer", i.options.Peer, "zone", i.options.Zone)
+	_ = level.Info(i.options.Logger).Log("msg", "started", "build", relayer.BuildName(), "front", i.options.Front, "peer", i.options.Peer, "zone", i.options.Zone)
 	l, err := net.Listen("tcp4", i.options.Front.String())
 	if err != nil {
 		return trace.Wrap(err, "listening for clients on %s", i.options.Front)
--- a/internal/process/forwarder/counters.go
+++ b/internal/process/forwarder/counters.go
@@ -58,6 +58,11 @@
 	c.scope.Tagged(map[string]string{"service": service, "purpose": purpose}).Counter("limited_answers").Inc(1)
 }
 
+// countStatement counts a response in which a target says something of itself.
+func (c *counters) countStatement(service, kind string) {
+	c.scope.Tagged(map[string]string{"service": service, "kind": kind}).Counter("statements").Inc(1)
+}
+
 // countPermit counts a request for a permit to send to a limited target.
 func (c *counters) countPermit(service string, granted bool) {
 	result := "withheld"
@@ -72,6 +77,12 @@
 	c.scope.Tagged(map[string]string{"service": service, "cause": cause}).Counter("responses_cut").Inc(1)
 }
 
+// countRevoked counts a granted request that was not sent because its target has become
+// unusable since.
+func (c *counters) countRevoked(service string) {
+	c.scope.Tagged(map[string]string{"service": service}).Counter("grants_revoked").Inc(1)
+}
+
 // countContact counts the first exchange of a connection to a target.
 func (c *counters) countContact(answered bool) {
 	result := "unanswered"
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -21,6 +21,7 @@
 	"oriolecourse.example/oriolecourse/internal/process/limiter"
 	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
 	"oriolecourse.example/oriolecourse/internal/process/registrar"
+	"oriolecourse.example/oriolecourse/internal/request/admitter"
 	"oriolecourse.example/oriolecourse/internal/request/placer"
 	"oriolecourse.example/oriolecourse/internal/version/router"
 )
@@ -44,10 +45,8 @@
 	TargetName func(h http.Header) string
 	// Load returns the load that a response reports, and whether it reports one.
 	Load func(h http.Header) (placer.Load, bool)
-	// Limit returns the requests per second that a target takes from all instances
-	// together, as its response names them. It is limiter.Unlimited if the response names
-	// no limit.
-	Limit func(h http.Header) float64
+	// Statement returns what a target says of itself in a response.
+	Statement func(r *sender.Response) Statement
 }
 
 // Budget bounds the load that the whole fleet adds to the requests of clients.
@@ -61,6 +60,9 @@
 	RetryWindow    time.Duration
 	// ProbeRate is the greatest number of probes per target and second.
 	ProbeRate float64
+	// A cold target gets at most WarmupOvershoot times the WarmupRate of its service, plus
+	// WarmupSlack, requests in any second. If WarmupOvershoot is 0, there is no bound.
+	WarmupOvershoot, WarmupSlack float64
 }
 
 // Options configures a forwarder.
@@ -86,6 +88,11 @@
 	// OnTargetReplaced is called when a target with another name responds at the
 	// address of a run. The key identifies the run.
 	OnTargetReplaced func(key string, now time.Time)
+	// OnTargetLeaving is called when a response of a run says that it takes no new requests.
+	OnTargetLeaving func(key string, now time.Time)
+	// OnTargetWarmup is called when a health response of a run says how long it stays cold.
+	// It reports whether that is news.
+	OnTargetWarmup func(service, key string, left time.Duration, now time.Time) bool
 	// LimitOwner returns the owner of a run in a zone and whether it is this instance. The
 	// owner counts the messages of all instances to the run if the run names a limit.
 	LimitOwner func(key, zone string) (o limiter.Owner, own bool)
@@ -118,12 +125,17 @@
 	quarantiner *quarantiner.Table
 	splitter    *router.Splitter
 	limiter     *limiter.Limiter
+	admitter    *admitter.Admitter
+	misread     misread
 	counters    counters
 
 	// servicesByAddress holds the service of each target that may get new requests.
 	servicesByAddress atomic.Pointer[map[netip.AddrPort]*service]
 	// cutOff means that the instance is cut off from the targets of all services.
 	cutOff atomic.Bool
+	// sentByZone holds the number of requests in progress at the targets of each
+	// availability zone, an *atomic.Int64 by the zone's name.
+	sentByZone sync.Map
 
 	budget atomic.Pointer[Budget]
 
@@ -139,6 +151,7 @@
 		quarantiner: quarantiner.New(quarantiner.DefaultLimits),
 		splitter:    router.NewSplitter(rand.IntN),
 		limiter:     limiter.New(),
+		admitter:    admitter.New(),
 		counters:    newCounters(o.Scope),
 		services:    map[string]*service{},
 	}
@@ -171,7 +184,10 @@
 		}
 	}
 	f.setLinks(usable)
-	f.limiter.Retain(func(key string) bool { return listed[key] }, now)
+	isListed := func(key string) bool { return listed[key] }
+	f.limiter.Retain(isListed, now)
+	f.misread.retain(isListed)
+	f.admitter.Retain(isListed, now)
 }
 
 // ReceiveRumor applies the rumor of a peer that a target did not complete its response
@@ -219,8 +235,30 @@
 	return slices.Collect(maps.Values(f.services))
 }
 
+// countSent counts a request that is sent to a target of a zone, until the returned function
+// is called.
+func (f *Forwarder) countSent(zone string) (ended func()) {
+	n, _ := f.sentByZone.LoadOrStore(zone, &atomic.Int64{})
+	n.(*atomic.Int64).Add(1)
+	return func() { n.(*atomic.Int64).Add(-1) }
+}
+
+// RequestsInZones returns the number of requests in progress at the targets of some zones.
+func (f *Forwarder) RequestsInZones(zones ...string) int {
+	sum := 0
+	for _, z := range zones {
+		if n, found := f.sentByZone.Load(z); found {
+			sum += int(n.(*atomic.Int64).Load())
+		}
+	}
+	return sum
+}
+
 // LimitedTargets returns the number of runs that name a limit.
 func (f *Forwarder) LimitedTargets() int { return f.limiter.Count() }
 
+// RestrictedTargets returns the number of runs that are paused and of those that are cold.
+func (f *Forwarder) RestrictedTargets(now time.Time) (paused, cold int) { return f.admitter.Count(now) }
+
 // Connections returns the number of open connections to targets.
 func (f *Forwarder) Connections() int { return f.exchanger.OpenConnections() }
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,7 +13,6 @@
 
 	"oriolecourse.example/oriolecourse/internal/connection/exchanger"
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
-	"oriolecourse.example/oriolecourse/internal/process/limiter"
 	"oriolecourse.example/oriolecourse/internal/process/registrar"
 	"oriolecourse.example/oriolecourse/internal/process/surveyor"
 	"oriolecourse.example/oriolecourse/internal/request/budgeter"
@@ -74,6 +74,7 @@
 	s.retries.Window, s.retries.Rounding = f.budget.Load().RetryWindow, rand.Float64()
 	s.placer = placer.New(f.options.Zone, rand.Float64, s.allowProbes)
 	s.placer.CanSearch = f.options.CanSearch
+	s.placer.Admitter = f.admitter
 	s.placer.NeedsRecheck = s.needsRecheck
 	s.timer = time.AfterFunc(never, s.onTimer)
 	return s
@@ -122,7 +123,6 @@
 	for _, u := range usable {
 		targets = append(targets, placer.Target{
 			ID: u.Key(), Name: u.Name, Address: u.Address, Zone: u.Zone, Slots: u.Slots, WarmupEnd: u.WarmupEnd,
-			Limited: s.forwarder.limiter.Rate(u.Key()) != limiter.Unlimited,
 		})
 	}
 	s.targets.Store(&targets)
@@ -236,6 +236,11 @@
 	return s.placer.RetryAfterShed(now)
 }
 
+// isUsable reports whether a target may get new requests now.
+func (s *service) isUsable(id string) bool {
+	return slices.ContainsFunc(s.linkTargets(), func(t placer.Target) bool { return t.ID == id })
+}
+
 // reportSlow tells the placer that a request at a target takes much longer than
 // expected.
 func (s *service) reportSlow(g *placer.Grant, now time.Time) {
@@ -282,11 +287,11 @@
 	now := time.Now()
 	if err == nil {
 		s.recordAnswer(now)
-		if name := f.options.Dialect.TargetName(response.Header); name != "" && name != t.Name {
+		if !s.isFrom(t, response) {
 			f.options.OnTargetReplaced(t.ID, now)
 			return
 		}
-		s.observeLimit(t, response, forProbe, now)
+		s.observe(t, response, forProbe, now)
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
