A request that its target has dropped is told from one at a dead or slow target

Targets of some services neither reject nor answer what they cannot queue. Such a request held a slot here until its deadline, and its target counted as failed. The placer now compares the target's load report with what this instance alone has sent there before: if the report has fewer, the request was dropped. It no longer counts at the target, the target is not blamed, and an idempotent request goes elsewhere as soon as the budget allows. A hanging target still reports the request, so it is blamed as before.

--- a/internal/process/forwarder/counters.go
+++ b/internal/process/forwarder/counters.go
@@ -83,6 +83,11 @@
 	c.scope.Tagged(map[string]string{"service": service}).Counter("grants_revoked").Inc(1)
 }
 
+// countSilent counts a request that its target has dropped without a response.
+func (c *counters) countSilent(service string) {
+	c.scope.Tagged(map[string]string{"service": service}).Counter("silent_connections").Inc(1)
+}
+
 // countContact counts the first exchange of a connection to a target.
 func (c *counters) countContact(answered bool) {
 	result := "unanswered"
--- a/internal/process/forwarder/execution.go
+++ b/internal/process/forwarder/execution.go
@@ -66,8 +66,9 @@
 	decisions  chan decision
 	results    chan result
 	hedgeTimer *time.Timer
-	// current is the grant of the latest attempt.
-	current *placer.Grant
+	// current is the grant of the latest attempt. overdue is the latest one that was reported
+	// as slow, and dropped the latest one whose request the target has dropped.
+	current, overdue, dropped *placer.Grant
 	// tried holds the IDs of the targets that were tried.
 	tried []string
 	// sent counts the attempts that may have reached a target.
@@ -264,14 +265,18 @@
 }
 
 // startHedge reports the current target as slow, so that other requests avoid it,
-// and sends a copy of an idempotent request to another target if the budget allows.
+// and sends a copy of an idempotent request to another target if the budget allows. For a
+// request that its target has dropped, it tries so until the budget allows.
 func (e *execution) startHedge() {
 	now := time.Now()
 	if e.running != 1 || e.placing > 0 {
 		return
 	}
-	e.service.reportSlow(e.current, now)
-	if !e.route.Idempotent || e.sent >= e.route.MaxAttempts || !e.service.takeRetry(e.route.Priority, now) {
+	isFirst := e.current != e.overdue
+	e.reportOverdue(now)
+	tries := isFirst || e.current == e.dropped
+	if !tries || !e.route.Idempotent || e.sent >= e.route.MaxAttempts || !e.service.takeRetry(e.route.Priority, now) {
+		e.hedgeTimer.Reset(overdueInterval)
 		return
 	}
 	_ = level.Info(e.logger).Log("msg", "second try", "service", e.service.name, "after", now.Sub(e.Arrived))
@@ -284,7 +289,8 @@
 	f := e.forwarder
 	run := quarantiner.Run{Address: r.grant.Target.Address, Start: r.grant.Target.ID}
 	s := quarantiner.Service{Service: e.service.name}
-	if e.ctx.Err() != nil && r.err != nil {
+	if (e.ctx.Err() != nil || r.grant == e.dropped) && r.err != nil {
+		// What became of the request says nothing about the target.
 		r.attempt.end()
 		e.service.end(r.grant, placer.Canceled, nil, now)
 		return
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -242,11 +242,13 @@
 }
 
 // reportSlow tells the placer that a request at a target takes much longer than
-// expected.
+// expected, unless the target may have dropped it.
 func (s *service) reportSlow(g *placer.Grant, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.placer.ReportSlow(g.Target.ID, now)
+	if !s.placer.MayHaveDropped(g.Target.ID, g.Ticket) {
+		s.placer.ReportSlow(g.Target.ID, now)
+	}
 }
 
 // maxConnections returns the greatest number of connections that this instance may
--- a/internal/process/journaler/lines.go
+++ b/internal/process/journaler/lines.go
@@ -50,6 +50,7 @@
 	{"not sent", "The target became unusable after it was chosen and before the request was sent to it; another one is chosen.", []string{"request", "service", "target"}},
 	{"second try", "A request takes much longer than expected; the instance looks for another target for a hedge (a copy of the request).", []string{"request", "service", "after"}},
 	{"attempt failed", "A target sent no complete response, did not execute the request, or responded with a status of 500 or above.", []string{"request", "service", "target", "effect", "status", "took", "err"}},
+	{"target silent", "A target has dropped a request without a response, as targets of some services do when they are full.", []string{"request", "service", "target", "after"}},
 	{"response cut", "A large response ended early after its first part was passed to the client.", []string{"request", "service", "target", "cause", "took", "err"}},
 	{"held back", "A request that is suspected of crashing targets was not sent to one.", []string{"request", "verdict", "service", "return"}},
 	{"no route", "No route matches a request.", []string{"request", "host", "path", "version"}},
--- a/internal/process/meter/metrics.go
+++ b/internal/process/meter/metrics.go
@@ -27,6 +27,7 @@
 	{"report_age_seconds", nil, "Age of the load report that a choice used. Values above 6 ms, the age up to which a report counts as fresh, mean that choices use old reports."},
 	{"responses_streamed", nil, "Large responses that were passed on to the client while they arrived."},
 	{"responses_cut", []string{"service", "cause"}, "Streamed responses that ended early. `client`: the client has left or does not read. `deadline`: the time of the request is over. `unread`: the target broke off what a slow client left unread. `target`: the target broke off."},
+	{"silent_connections", []string{"service"}, "Requests that a target dropped without a response: it reports fewer requests than this instance alone has sent to it. Its connection is not used again."},
 	{"body_bytes", nil, "Memory that the bodies of requests and responses hold. At half of the instance's memory, requests are refused."},
 	{"waiting", []string{"service"}, "Requests that are waiting for a target."},
 	{"retries_left", []string{"service"}, "Retries and hedges that the budget would grant now. At 0, a request is not retried after a failed attempt, unless nothing of that attempt was sent."},
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -120,6 +120,9 @@
 	probesDenied bool
 	// lastReport is when a target last reported its load.
 	lastReport time.Time
+	// lastDropped is when a target was last found to have dropped a request; zero means
+	// never.
+	lastDropped time.Time
 	// starts holds the times of the grants within startRateWindow.
 	starts []time.Time
 }
--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -106,12 +106,12 @@
 // its share, and prefers local targets. Without reports all targets count as equal.
 func (p *Placer) bestTarget(t *Ticket, usable []*targetState, now time.Time) (*targetState, float64) {
 	age := freshReportAge
-	if p.probesDenied {
+	if p.probesDenied && !p.needsRoom(t, now) {
 		// The request waits for a newer report for as long as this one was old on its
 		// arrival.
 		age = min(max(2*now.Sub(t.Arrived), freshReportAge), staleReportAge)
 	}
-	noReports := p.noReports(t, usable, now)
+	noReports := p.noReports(t, usable, now) && !p.needsRoom(t, now)
 	var free []*targetState
 	for _, s := range usable {
 		if (noReports || s.fresh(now, age)) && s.hasFreeSlot(now) {
