--- a/internal/process/forwarder/counters.go
+++ b/internal/process/forwarder/counters.go
@@ -72,15 +72,20 @@
 	c.scope.Tagged(map[string]string{"service": service, "result": result}).Counter("permits").Inc(1)
 }
 
+// countCut counts a response that was cut off after its first part, by cause.
+func (c *counters) countCut(service, cause string) {
+	c.scope.Tagged(map[string]string{"service": service, "cause": cause}).Counter("responses_cut").Inc(1)
+}
+
 // countRevoked counts a granted request that was not sent because its target has become
 // unusable since.
 func (c *counters) countRevoked(service string) {
 	c.scope.Tagged(map[string]string{"service": service}).Counter("grants_revoked").Inc(1)
 }
 
-// countCut counts a response that was cut off after its first part, by cause.
-func (c *counters) countCut(service, cause string) {
-	c.scope.Tagged(map[string]string{"service": service, "cause": cause}).Counter("responses_cut").Inc(1)
+// countSilent counts a request that its target has dropped without a response.
+func (c *counters) countSilent(service string) {
+	c.scope.Tagged(map[string]string{"service": service}).Counter("silent_connections").Inc(1)
 }
 
 // countContact counts the first exchange of a connection to a target.
--- a/internal/process/forwarder/stream.go
+++ b/internal/process/forwarder/stream.go
@@ -18,6 +18,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	detach func() bool
+	// ended is called when the target has sent its whole response.
+	ended func()
 }
 
 // end releases the context.
@@ -38,6 +40,7 @@
 	r.attempt.end()
 	if r.response != nil && r.response.Rest != nil {
 		_ = r.response.Rest.Close()
+		r.attempt.ended()
 	}
 }
 
@@ -103,6 +106,7 @@
 			"cause", cause, "took", now.Sub(r.sent), "err", err)
 	}
 	r.attempt.end()
+	r.attempt.ended()
 	e.finish()
 	e.service.end(r.grant, ending, nil, now)
 }
