Store eras: documents are ordered by era and then revision

Cause: a store that returns from a copy goes back to earlier revisions and gives them out again, which nothing knew: newer lists were refused as old ones, a watch that succeeded by chance left changes out, settings with a revision seen before were skipped, runs that the copy lacked were gone at once, ended ones were ready again, and an emptied zone was taken back.

After a new era the reader reads everything again and marks what may be from the copy; the registrar holds on to what it knew of leaving, ended and live runs and of emptied zones until it is written again (design/store-eras.md).

--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -255,9 +255,11 @@
 				lastGauges = now
 				i.updateGauges(now)
 			}
-			if i.registrar.Expire(now) {
+			zones := i.registrar.ExpireZones(now)
+			if i.registrar.Expire(now) || len(zones) > 0 {
 				i.updateTargets(now)
 			}
+			i.logZoneChanges(zones, i.lists.Stamp())
 			i.forwarder.CloseIdleConnections(now)
 			i.forwarder.CheckLinks(now)
 		}
--- a/internal/process/composer/documents.go
+++ b/internal/process/composer/documents.go
@@ -93,18 +93,18 @@
 	_ = level.Info(i.options.Logger).Log("msg", "targets listed", "version", s, "runs", len(l.Runs), "unsettled", l.MayBeIncomplete)
 	changes := i.registrar.Apply(l, now)
 	i.updateTargets(now)
-	for _, c := range changes {
-		i.logZoneChange(c, s)
-	}
+	i.logZoneChanges(changes, s)
 }
 
-func (i *Instance) logZoneChange(c registrar.ZoneChange, s adopter.Stamp) {
-	write := level.Info(log.With(i.options.Logger, "zone", c.Zone, "version", s, "runs", c.Runs, "busy", i.forwarder.RequestsInZones(c.Zone)))
-	if c.Emptied {
-		_ = write.Log("msg", "zone emptied")
-		return
+func (i *Instance) logZoneChanges(changes []registrar.ZoneChange, s adopter.Stamp) {
+	for _, c := range changes {
+		write := level.Info(log.With(i.options.Logger, "zone", c.Zone, "version", s, "runs", c.Runs, "busy", i.forwarder.RequestsInZones(c.Zone)))
+		if c.Emptied {
+			_ = write.Log("msg", "zone emptied")
+		} else {
+			_ = write.Log("msg", "zone taken back")
+		}
 	}
-	_ = write.Log("msg", "zone taken back")
 }
 
 // warmup returns the slow period of a service's targets by the settings in force.
--- a/internal/process/registrar/list.go
+++ b/internal/process/registrar/list.go
@@ -27,6 +27,9 @@
 	// WarmupLeft is the rest of the slow period after the start, as of the time at which
 	// the entry was read. It is in nanoseconds on the wire.
 	WarmupLeft time.Duration `json:"cold,omitzero"`
+	// Copied means that the entry may be from the copy from which the platform's store has
+	// returned: the target has not written it since, as far as the reader of the list knows.
+	Copied bool `json:"copied,omitzero"`
 }
 
 // Key returns the identifier of the run among all runs.
@@ -36,12 +39,18 @@
 type List struct {
 	// Revision orders lists; it is greater than 0.
 	Revision uint64 `json:"revision"`
+	// Era rises each time the platform's store returns from a copy and may have lost what it
+	// held; 0 if it names none. A list of a later era has a higher revision.
+	Era uint64 `json:"era,omitzero"`
 	// MayBeIncomplete says that the list was made right after an outage of the platform
 	// and may lack entries of live targets.
 	MayBeIncomplete bool `json:"unsettled,omitzero"`
 	// Emptied holds the availability zones whose targets get no new requests, sorted. It is
 	// nil if the list says nothing of it.
 	Emptied []string `json:"emptied"`
+	// TakenBack holds the zones that operators have taken back since the store returned from a
+	// copy, sorted.
+	TakenBack []string `json:"returned,omitempty"`
 	// Runs is sorted by name.
 	Runs []Run `json:"runs"`
 }
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -82,6 +82,13 @@
 	entries map[string]*entry
 	// emptied holds the emptied zones.
 	emptied map[string]bool
+	// listed is set once a list has been applied. era is the latest era of a list, and eraSince
+	// when its first list was applied; zero if no list of an earlier era was applied before.
+	listed   bool
+	era      uint64
+	eraSince time.Time
+	// held holds the zones that are emptied by the word of an earlier era only.
+	held map[string]bool
 }
 
 // New returns a registrar without runs.
@@ -94,7 +101,7 @@
 func (r *Registrar) Apply(l *List, now time.Time) []ZoneChange {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	changes := r.setEmptied(l.Emptied, now)
+	changes := r.setEmptied(r.enterEra(l, now), now)
 	for _, e := range r.entries {
 		e.listed = false
 	}
@@ -103,7 +110,7 @@
 	}
 	for _, e := range r.entries {
 		if !e.listed {
-			r.applyOmission(e, l.MayBeIncomplete, now)
+			r.applyOmission(e, r.mayBeIncomplete(l, now), now)
 		}
 	}
 	r.countRuns(changes)
@@ -129,7 +136,7 @@
 	if run.Leaving && e.leavingSince.IsZero() {
 		e.leavingSince = now
 	}
-	if e.leavingSince.IsZero() || state == Leaving {
+	if (e.leavingSince.IsZero() || state == Leaving) && !r.isOutdated(e, now) {
 		r.setState(e, state, "list")
 	}
 }
