--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -314,4 +314,6 @@
 	}
 	i.relayer.SetListed(l, now)
 	i.forwarder.SetBudget(b)
+	// The bound on a cold target depends on the budget.
+	i.updateTargets(now)
 }
