--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -241,16 +241,6 @@
 	return slices.ContainsFunc(s.linkTargets(), func(t placer.Target) bool { return t.ID == id })
 }
 
-// reportSlow tells the placer that a request at a target takes much longer than
-// expected, unless the target may have dropped it.
-func (s *service) reportSlow(g *placer.Grant, now time.Time) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if !s.placer.MayHaveDropped(g.Target.ID, g.Ticket) {
-		s.placer.ReportSlow(g.Target.ID, now)
-	}
-}
-
 // maxConnections returns the greatest number of connections that this instance may
 // open to one target.
 func (s *service) maxConnections() int {
--- a/internal/process/forwarder/silent.go
+++ b/internal/process/forwarder/silent.go
@@ -44,6 +44,27 @@
 	return dropped
 }
 
+// reportSlow tells the placer that a request at a target takes much longer than expected.
+// If the target's last report is older than the request, it is asked for its load first,
+// which shows whether it may have dropped the request.
+func (s *service) reportSlow(g *placer.Grant, now time.Time) {
+	s.mutex.Lock()
+	asks := s.placer.LacksReport(g.Target.ID, g.Ticket) && s.allowProbes(1, now) == 1
+	if !asks {
+		s.placer.ReportSlow(g.Target.ID, g.Ticket, now)
+	}
+	s.mutex.Unlock()
+	if !asks {
+		return
+	}
+	go func() {
+		s.probe(g.Target, now)
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.placer.ReportSlow(g.Target.ID, g.Ticket, time.Now())
+	}()
+}
+
 // probeOverdue asks the target of an overdue request for its load, which shows whether it
 // has dropped the request. A target whose slots are all counted as used is not probed
 // otherwise.
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -252,9 +252,14 @@
 }
 
 // ReportSlow records that a request takes much longer at a target than expected. It
-// counts as a failure of the target.
-func (p *Placer) ReportSlow(id string, now time.Time) {
-	if s := p.targets[id]; s != nil {
+// counts as a failure of the target, unless the request has ended or the target may have
+// dropped it.
+func (p *Placer) ReportSlow(id string, t *Ticket, now time.Time) {
+	s := p.targets[id]
+	if s == nil || s.hasDropped(t, minArrivalTime) {
+		return
+	}
+	if _, running := s.running[t]; running {
 		s.recordResult(true, now)
 	}
 }
--- a/internal/request/placer/silent.go
+++ b/internal/request/placer/silent.go
@@ -34,11 +34,11 @@
 	return s != nil && s.reportsLoad
 }
 
-// MayHaveDropped reports whether a target may have dropped a request: its last report does
-// not include it, but the request may have been on its way then.
-func (p *Placer) MayHaveDropped(id string, t *Ticket) bool {
+// LacksReport reports whether a target that reports its load has not done so since a
+// request was sent to it.
+func (p *Placer) LacksReport(id string, t *Ticket) bool {
 	s := p.targets[id]
-	return s != nil && s.hasDropped(t, minArrivalTime)
+	return s != nil && s.reportsLoad && s.askedAt.Sub(s.running[t]) < minArrivalTime
 }
 
 // hasDropped reports whether the last report shows that a request is not at the target,
--- a/internal/request/placer/silent_test.go
+++ b/internal/request/placer/silent_test.go
@@ -23,9 +23,12 @@
 func TestDroppedRequestIsNotCounted(t *testing.T) {
 	f := newFixture(t, 1, 0)
 	dropped := f.place("a0", 0, true)
+	require.True(t, f.LacksReport("a0", dropped))
 	f.advance(100*time.Millisecond).report("a0", 0, 1)
 	require.False(t, f.RecordDropped("a0", dropped, f.now), "the request may not have arrived when the report was asked for")
-	require.True(t, f.MayHaveDropped("a0", dropped), "the target is not blamed yet")
+	require.False(t, f.LacksReport("a0", dropped))
+	f.ReportSlow("a0", dropped, f.now)
+	require.Zero(t, f.targets["a0"].failureShare, "the target may have dropped the request")
 	f.advance(300*time.Millisecond).report("a0", 1, 1)
 	require.False(t, f.RecordDropped("a0", dropped, f.now), "the reported request may be this one")
 	f.advance(100*time.Millisecond).report("a0", 0, 1)
@@ -51,7 +54,8 @@
 	f.advance(time.Second).report("a0", 1, 1)
 	require.True(t, f.RecordDropped("a0", second, f.now), "one of the two is gone")
 	require.False(t, f.RecordDropped("a0", first, f.now), "the other one is reported")
-	require.False(t, f.MayHaveDropped("a0", first))
+	f.ReportSlow("a0", first, f.now)
+	require.Positive(t, f.targets["a0"].failureShare)
 }
 
 // Answers the load at which the probe budget is used up and targets drop what they cannot
