--- a/internal/process/forwarder/execution.go
+++ b/internal/process/forwarder/execution.go
@@ -264,25 +264,6 @@
 	return e.service.takeRetry(e.route.Priority, now)
 }
 
-// startHedge reports the current target as slow, so that other requests avoid it,
-// and sends a copy of an idempotent request to another target if the budget allows. For a
-// request that its target has dropped, it tries so until the budget allows.
-func (e *execution) startHedge() {
-	now := time.Now()
-	if e.running != 1 || e.placing > 0 {
-		return
-	}
-	isFirst := e.current != e.overdue
-	e.reportOverdue(now)
-	tries := isFirst || e.current == e.dropped
-	if !tries || !e.route.Idempotent || e.sent >= e.route.MaxAttempts || !e.service.takeRetry(e.route.Priority, now) {
-		e.hedgeTimer.Reset(overdueInterval)
-		return
-	}
-	_ = level.Info(e.logger).Log("msg", "second try", "service", e.service.name, "after", now.Sub(e.Arrived))
-	e.place(true)
-}
-
 // recordResult reports the result of an attempt to the placer and the quarantiner,
 // and a replaced target to Options.OnTargetReplaced.
 func (e *execution) recordResult(r result, now time.Time) {
--- a/internal/process/forwarder/silent.go
+++ b/internal/process/forwarder/overdue.go
@@ -12,6 +12,25 @@
 // expected and is not hedged. A dropped request holds a slot here until it is found.
 const overdueInterval = 250 * time.Millisecond
 
+// startHedge reports the current target as slow, so that other requests avoid it,
+// and sends a copy of an idempotent request to another target if the budget allows. For a
+// request that its target has dropped, it tries so until the budget allows.
+func (e *execution) startHedge() {
+	now := time.Now()
+	if e.running != 1 || e.placing > 0 {
+		return
+	}
+	isFirst := e.current != e.overdue
+	e.reportOverdue(now)
+	tries := isFirst || e.current == e.dropped
+	if !tries || !e.route.Idempotent || e.sent >= e.route.MaxAttempts || !e.service.takeRetry(e.route.Priority, now) {
+		e.hedgeTimer.Reset(overdueInterval)
+		return
+	}
+	_ = level.Info(e.logger).Log("msg", "second try", "service", e.service.name, "after", now.Sub(e.Arrived))
+	e.place(true)
+}
+
 // reportOverdue handles the current attempt, which takes much longer than expected. If its
 // target has dropped the request, the attempt no longer counts there. It still waits for a
 // response, which may only have been lost on the way for now; its connection is not used
