--- a/internal/process/forwarder/execution.go
+++ b/internal/process/forwarder/execution.go
@@ -41,6 +41,9 @@
 	// withheld is the time until the target takes a further request, if the request was
 	// not sent because of its limit.
 	withheld time.Duration
+	// revoked means that the request was not sent because the target has become unusable
+	// since the grant.
+	revoked  bool
 	response *sender.Response
 	effect   sender.Effect
 	err      error
@@ -152,7 +155,16 @@
 			e.results <- result{grant: g, sent: now, withheld: wait}
 			return
 		}
+		if !e.service.isUsable(g.Target.ID) {
+			e.results <- result{grant: g, sent: now, revoked: true}
+			return
+		}
+		defer e.forwarder.countSent(g.Target.Zone)()
 		response, effect, err := e.forwarder.exchanger.Send(e.ctx, g.Target.Address, q)
+		// Another run responds with status 421.
+		if err == nil && response.Status != http.StatusMisdirectedRequest {
+			e.service.observe(g.Target, response, forRequest, time.Now())
+		}
 		e.results <- result{grant: g, sent: now, response: response, effect: effect, err: err}
 	}()
 }
@@ -173,7 +185,7 @@
 // client, or nil if there is none yet; then it may have started a retry.
 func (e *execution) handleResult(r result) *acceptor.Response {
 	now := time.Now()
-	if r.withheld > 0 {
+	if r.withheld > 0 || r.revoked {
 		e.handleWithheld(r, now)
 		return nil
 	}
@@ -208,9 +220,14 @@
 	return nil
 }
 
-// handleWithheld handles an attempt that was not sent because of the target's limit. The
-// request goes back to the placer, unless it is a hedge whose original still runs.
+// handleWithheld handles an attempt that was not sent because of the target's limit or
+// because the target has become unusable. The request goes back to the placer, unless it is
+// a hedge whose original still runs.
 func (e *execution) handleWithheld(r result, now time.Time) {
+	if r.revoked {
+		e.forwarder.counters.countRevoked(e.service.name)
+		_ = level.Info(e.logger).Log("msg", "not sent", "service", e.service.name, "target", r.grant.Target.ID)
+	}
 	e.sent--
 	e.tried = slices.DeleteFunc(e.tried, func(id string) bool { return id == r.grant.Target.ID })
 	e.service.withhold(r.grant, r.withheld, now)
@@ -266,9 +283,6 @@
 			load = &l
 		}
 		f.quarantiner.RecordResponse(run, r.sent, now)
-		if r.response.Status != http.StatusMisdirectedRequest {
-			e.service.observeLimit(r.grant.Target, r.response, forRequest, now)
-		}
 	}
 	switch {
 	case r.effect == sender.NotExecuted:
