--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -277,9 +277,10 @@
 }
 
 // predecessors returns the live instances of the zone that are to read the platform's
-// data before this one does. The order is that of the peer addresses.
+// data before this one does. The order is that of the peer addresses. Instances of an
+// earlier build don't count, since the lists that they read say less.
 func (i *Instance) predecessors() []netip.AddrPort {
-	return slices.DeleteFunc(i.livePeers(), func(a netip.AddrPort) bool { return a.Compare(i.self.Peer) >= 0 })
+	return slices.DeleteFunc(i.livePeers(), func(a netip.AddrPort) bool { return a.Compare(i.self.Peer) >= 0 || i.readsLess(a) })
 }
 
 // zoneInstances returns the number of live instances of the zone, this one included.
--- a/internal/process/composer/documents.go
+++ b/internal/process/composer/documents.go
@@ -64,12 +64,18 @@
 	return i.announceIfAccepted(i.tables.Offer(text, 0, 0, now))
 }
 
+// listRank is the rank of lists that name the emptied zones.
+const listRank = 1
+
 // offerList offers a list that was read from the platform to its adopter.
 func (i *Instance) offerList(l *registrar.List, now time.Time) error {
 	text, err := l.Encode()
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	if i.besideEarlierBuilds() {
+		text = adopter.Rank(text, listRank)
+	}
 	return i.announceIfAccepted(i.lists.Offer(text, 0, 0, now))
 }
 
--- a/internal/process/composer/gauges.go
+++ b/internal/process/composer/gauges.go
@@ -45,6 +45,7 @@
 			set(s.Tagged(map[string]string{"service": service, "state": registrar.State(state).String()}), "targets", n)
 		}
 	}
+	set(s, "members_earlier", i.earlierBuilds())
 	members := map[detector.State]int{}
 	for _, m := range i.relayer.Members() {
 		members[m.State]++
--- a/internal/process/meter/metrics.go
+++ b/internal/process/meter/metrics.go
@@ -50,6 +50,7 @@
 	{"settings_version", nil, "Version of the operators' configuration in force. If two instances have different versions for long, one of them does not receive updates."},
 	{"targets", []string{"service", "state"}, "Runs of targets by state in this instance's view. `emptied`: usable, but an operator has emptied their zone."},
 	{"members", []string{"state"}, "Other instances by state in this instance's view."},
+	{"members_earlier", nil, "Live instances that run an earlier build, which reads less from the platform. Anything but 0 is expected only during an upgrade."},
 	{"platform_calls", []string{"call", "result"}, "Calls to the platform by result. `refused`: the platform rejected the call. `unreachable`: no complete response."},
 	{"peer_messages", []string{"direction", "kind"}, "Messages exchanged with other instances."},
 	{"peer_bytes", []string{"direction", "kind"}, "Bytes of the messages exchanged with other instances."},
--- a/internal/process/relayer/features.go
+++ b/internal/process/relayer/features.go
@@ -15,13 +15,16 @@
 const (
 	// TellsFacts means that the instance reads and sends Facts.
 	TellsFacts Feature = iota
+	// ReadsEmptiedZones means that the instance reads from the platform which availability
+	// zones are emptied.
+	ReadsEmptiedZones
 )
 
 // Features is a set of features.
 type Features uint64
 
 // ownFeatures holds the features of this build.
-const ownFeatures = Features(1 << TellsFacts)
+const ownFeatures = Features(1<<TellsFacts | 1<<ReadsEmptiedZones)
 
 // Has reports whether the set contains a feature.
 func (s Features) Has(f Feature) bool { return s&(1<<f) != 0 }
