--- a/internal/process/journaler/lines.go
+++ b/internal/process/journaler/lines.go
@@ -50,6 +50,7 @@
 	{"not sent", "The target became unusable after it was chosen and before the request was sent to it; another one is chosen.", []string{"request", "service", "target"}},
 	{"second try", "A request takes much longer than expected; the instance looks for another target for a hedge (a copy of the request).", []string{"request", "service", "after"}},
 	{"attempt failed", "A target sent no complete response, did not execute the request, or responded with a status of 500 or above.", []string{"request", "service", "target", "effect", "status", "took", "err"}},
+	{"response cut", "A large response ended early after its first part was passed to the client.", []string{"request", "service", "target", "cause", "took", "err"}},
 	{"held back", "A request that is suspected of crashing targets was not sent to one.", []string{"request", "verdict", "service", "return"}},
 	{"no route", "No route matches a request.", []string{"request", "host", "path", "version"}},
 	{"malformed request", "A request has no identifier, or its deadline is not a valid number of milliseconds.", []string{"request", "host", "path", "err"}},
@@ -103,7 +104,7 @@
 	{"limit", "requests per second that the target takes from all instances together; +Inf without a limit"},
 	{"left", "how long the target wants nothing more from this instance, or stays cold"},
 	{"field, value", "name and value of the header field"},
-	{"cause", "who reported it, or what caused it"},
+	{"cause", "who reported it, or what caused it; for a response that was cut off: client (it has left or does not read), deadline, unread (the target broke off what a slow client left unread), target"},
 	{"err", "the error"},
 }
 
