Callers are told of instances by what these can carry

In a deployment whose instances differ by 5 in processor and 20 in link, each was named to callers as often as any other.

--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -98,6 +98,8 @@
 	// bodies counts the request bodies, bounded by MaxBodyMemory; it is a part of Memory.
 	bodies   *reserver.Reserver
 	draining atomic.Bool
+	// written counts the bytes that were written to clients.
+	written  atomic.Uint64
 	mutex    sync.Mutex
 	conns    map[*conn]struct{}
 	group    sync.WaitGroup
@@ -169,6 +171,9 @@
 	return n
 }
 
+// BytesWritten returns the number of bytes that were written to clients.
+func (a *Acceptor) BytesWritten() uint64 { return a.written.Load() }
+
 // OpenConnections returns the number of open connections.
 func (a *Acceptor) OpenConnections() int {
 	a.mutex.Lock()
--- a/internal/connection/acceptor/write.go
+++ b/internal/connection/acceptor/write.go
@@ -115,7 +115,8 @@
 func (c *conn) write(buffers ...[]byte) error {
 	_ = c.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
 	all := net.Buffers(buffers)
-	_, err := all.WriteTo(c.socket)
+	n, err := all.WriteTo(c.socket)
+	c.acceptor.written.Add(uint64(n))
 	return err
 }
 
--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -22,6 +22,7 @@
 	"oriolecourse.example/oriolecourse/internal/connection/framer"
 	"oriolecourse.example/oriolecourse/internal/connection/reserver"
 	"oriolecourse.example/oriolecourse/internal/process/adopter"
+	"oriolecourse.example/oriolecourse/internal/process/assessor"
 	"oriolecourse.example/oriolecourse/internal/process/detector"
 	"oriolecourse.example/oriolecourse/internal/process/director"
 	"oriolecourse.example/oriolecourse/internal/process/forwarder"
@@ -102,7 +103,10 @@
 	// MemoryBytes is the memory that the process may use, in bytes. MaxFiles is the
 	// greatest number of file descriptors.
 	MemoryBytes int64
-	MaxFiles    int
+	// Resources is the share of the processor and the rate of the network link; zero if
+	// unknown.
+	Resources assessor.Resources
+	MaxFiles  int
 	// NewSource returns the reader of the platform's data, which passes the data to
 	// the sink.
 	NewSource func(s Sink) Source
@@ -148,6 +152,16 @@
 	ready atomic.Bool
 	// caughtUp is set once a peer has sent its documents and rumors.
 	caughtUp atomic.Bool
+	// incarnation identifies this run of the instance; it is never 0.
+	incarnation uint64
+	// assessor measures this instance, fleet holds what all instances tell of themselves.
+	assessor *assessor.Assessor
+	fleet    assessor.Fleet
+	// requests counts the requests of clients that have ended.
+	requests atomic.Uint64
+	// facts is what this instance tells, last changed at toldAt. Only maintain uses them.
+	facts  relayer.Facts
+	toldAt time.Time
 	// instanceCount is the number of instances that may be running, this one
 	// included.
 	instanceCount atomic.Int64
@@ -158,6 +172,9 @@
 	i := &Instance{options: o, startTime: time.Now()}
 	i.self = lister.Instance{Address: o.Front, Peer: o.Peer, Place: o.Zone, Zone: o.Zone, State: lister.Live}
 	i.instanceCount.Store(1)
+	i.incarnation = rand.Uint64() | 1
+	i.assessor = &assessor.Assessor{Resources: o.Resources}
+	i.facts = relayer.Facts{Cores: o.Resources.Cores, LinkRate: o.Resources.Link, Ease: 1}
 	i.tables = &adopter.Adopter[router.Table]{Check: checkTable, OnChange: i.tableChanged, OnReject: i.documentRejected}
 	i.lists = &adopter.Adopter[registrar.List]{Check: checkList, OnChange: i.listChanged, OnReject: i.documentRejected}
 	i.registrar = registrar.New(i.runChanged)
@@ -176,11 +193,10 @@
 		Logger: o.Logger, Scope: o.Scope,
 	})
 	i.relayer = relayer.New(relayer.Options{
-		// An incarnation is never zero.
-		Self: i.self, Listen: o.PeerListen, Incarnation: rand.Uint64() | 1, Seeds: o.Seeds, Period: pingPeriod, RemotePingPeriods: remotePingPeriods,
+		Self: i.self, Listen: o.PeerListen, Incarnation: i.incarnation, Seeds: o.Seeds, Period: pingPeriod, RemotePingPeriods: remotePingPeriods,
 		Keys:      func() framer.Keys { return o.Keys },
 		Documents: i.document, OfferDocument: i.offerDocument, OnRumor: i.receiveRumor, OnConfirmation: i.recordConfirmation,
-		DocumentsCurrent: i.documentsCurrent, OnMembersChange: i.membersChanged,
+		DocumentsCurrent: i.documentsCurrent, OnMembersChange: i.membersChanged, OnFacts: i.receiveFacts,
 		OfferTargets: i.offerTargets,
 		Permit:       i.grantPermit,
 		Execute:      i.serveRelayed,
@@ -193,7 +209,7 @@
 	}
 	i.syncer.Prepare()
 	i.acceptor = &acceptor.Acceptor{
-		Handle: i.forwarder.Serve, Limits: i.limits,
+		Handle: i.serve, Limits: i.limits,
 		MaxBodyMemory: share(requestMemoryShare), Memory: i.memory,
 		// If few file descriptors are allowed, clients still get half of them.
 		MaxConnections: max(o.MaxFiles-reservedFiles, o.MaxFiles/2),
@@ -249,7 +265,7 @@
 // Addresses returns the addresses of instances that the directory tells a client of
 // a zone.
 func (i *Instance) Addresses(zone string) []netip.AddrPort {
-	return director.Choose(zone, i.relayer.Self(), i.Ready(), i.relayer.Members(), rand.IntN)
+	return director.Choose(zone, i.relayer.Self(), i.Ready(), i.relayer.Members(), i.weigh, rand.IntN)
 }
 
 // maintain expires runs, closes idle connections and updates the gauges until the
@@ -263,8 +279,10 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
+			i.assessor.RecordLateness(time.Since(now))
 			if now.Sub(lastGauges) >= gaugeInterval {
 				lastGauges = now
+				i.assess(now)
 				i.updateGauges(now)
 			}
 			if i.registrar.Expire(now) {
--- a/internal/process/composer/gauges.go
+++ b/internal/process/composer/gauges.go
@@ -46,6 +46,11 @@
 			set(s.Tagged(map[string]string{"service": service, "state": registrar.State(state).String()}), "targets", n)
 		}
 	}
+	costs := i.assessor.Costs()
+	s.Gauge("capacity").Update(i.options.Resources.Capacity(costs))
+	s.Gauge("ease").Update(i.assessor.Ease())
+	s.Gauge("request_cpu_seconds").Update(costs.CPU.Seconds())
+	s.Gauge("request_bytes").Update(costs.Bytes)
 	set(s, "members_earlier", i.earlierBuilds())
 	members := map[detector.State]int{}
 	for _, m := range i.relayer.Members() {
--- a/internal/process/composer/peers.go
+++ b/internal/process/composer/peers.go
@@ -34,7 +34,8 @@
 // membersChanged counts the instances that may be running. Failed members count
 // until they are forgotten, since they may still run behind a network partition and
 // use their shares of the fleet's budgets.
-func (i *Instance) membersChanged(members []detector.Member, _ []detector.Change) {
+func (i *Instance) membersChanged(members []detector.Member, changes []detector.Change) {
+	i.forgetFacts(changes)
 	n := 1
 	for _, m := range members {
 		if m.State != detector.Ended {
--- a/internal/process/composer/relay.go
+++ b/internal/process/composer/relay.go
@@ -48,7 +48,7 @@
 	header := q.Header.Clone()
 	header.Set(hostField, q.Host)
 	result := forwarder.RelayRefused
-	peers := director.Serving(i.self.Zone, i.relayer.Members(), rand.IntN)
+	peers := director.Serving(i.self.Zone, i.relayer.Members(), i.weigh, rand.IntN)
 	for _, m := range peers[:min(maxRelayPeers, len(peers))] {
 		o, err := i.relayer.Forward(ctx, m.Instance.Peer, relayer.Operation{
 			Incarnation: m.Incarnation, Method: q.Method, Path: q.RequestURI, Header: header, Body: q.Body, Route: route,
--- a/internal/process/director/director.go
+++ b/internal/process/director/director.go
@@ -15,18 +15,38 @@
 	// remote zones are listed too. Otherwise the last local instance would get all clients
 	// of its zone.
 	minLocal = 2
+	// minAddresses is the number of addresses in one response below which no instance is
+	// left out for its weight. If half of the instances are lost at once, one response in
+	// 256 names only lost ones.
+	minAddresses = 8
 )
 
+// Weights returns the weight of each member: how much work it should get, relative to the
+// others. 0 is unknown, and counts as the median of the known ones. A nil slice means that
+// all get the same. The slice has the length of the members.
+type Weights func(members []detector.Member) []float64
+
 // Choose returns the addresses of the instances for a client of a zone, in ascending
 // order. If there are more than maxAddresses, it returns a random sample of them, which
 // may lack the only local instance among many remote ones. Self is this instance, and
 // ready says whether it accepts clients. Random returns a number in [0, n).
-func Choose(zone string, self detector.Member, ready bool, members []detector.Member, random func(n int) int) []netip.AddrPort {
+//
+// Clients take one of the addresses at random. If the weights differ, the response leaves
+// instances out, each as often as makes its share of the clients follow its weight, as far
+// as minAddresses allows.
+func Choose(zone string, self detector.Member, ready bool, members []detector.Member, weigh Weights, random func(n int) int) []netip.AddrPort {
 	if ready {
 		members = append(slices.Clone(members), self)
 	}
+	candidates := Candidates(zone, members)
+	chosen := candidates
+	if weights := uneven(weigh(candidates)); weights != nil {
+		chosen = sample(candidates, weights, random)
+	} else {
+		shuffle(chosen, random)
+	}
 	var addresses []netip.AddrPort
-	for _, m := range Serving(zone, members, random) {
+	for _, m := range chosen {
 		addresses = append(addresses, m.Instance.Address)
 	}
 	addresses = addresses[:min(maxAddresses, len(addresses))]
@@ -34,17 +54,25 @@
 	return addresses
 }
 
-// Serving returns the candidates for requests of a zone in random order. Random returns a
-// number in [0, n).
-func Serving(zone string, members []detector.Member, random func(n int) int) []detector.Member {
+// Serving returns the candidates for requests of a zone in random order: one of a greater
+// weight is more often before one of a smaller weight. Random returns a number in [0, n).
+func Serving(zone string, members []detector.Member, weigh Weights, random func(n int) int) []detector.Member {
 	serving := Candidates(zone, members)
-	for i := range serving {
-		j := i + random(len(serving)-i)
-		serving[i], serving[j] = serving[j], serving[i]
+	if weights := uneven(weigh(serving)); weights != nil {
+		shuffleByWeight(serving, weights, random)
+	} else {
+		shuffle(serving, random)
 	}
 	return serving
 }
 
+func shuffle(members []detector.Member, random func(n int) int) {
+	for i := range members {
+		j := i + random(len(members)-i)
+		members[i], members[j] = members[j], members[i]
+	}
+}
+
 // Candidates returns the members that serve requests of a zone: those of the zone, and of
 // remote zones too if there are fewer than minLocal. If all members that accept clients are
 // cut off from the targets, it returns these.
--- a/internal/process/director/director_test.go
+++ b/internal/process/director/director_test.go
@@ -16,10 +16,13 @@
 	return detector.Member{Instance: lister.Instance{Address: a, Zone: zone}, State: state, Leaving: leaving}
 }
 
+// same is the weights of instances that are all alike.
+func same(members []detector.Member) []float64 { return make([]float64, len(members)) }
+
 // choose returns the last byte of each chosen address.
 func choose(zone string, ready bool, members ...detector.Member) []byte {
 	var lastBytes []byte
-	for _, a := range Choose(zone, member(1, "a", detector.Alive, false), ready, members, func(int) int { return 0 }) {
+	for _, a := range Choose(zone, member(1, "a", detector.Alive, false), ready, members, same, func(int) int { return 0 }) {
 		lastBytes = append(lastBytes, a.Addr().As4()[3])
 	}
 	return lastBytes
@@ -67,7 +70,7 @@
 			const requests = 50
 			load := map[netip.AddrPort]int{}
 			for range cut * requests {
-				m := Serving("a", members, random.Intn)[0]
+				m := Serving("a", members, same, random.Intn)[0]
 				require.False(t, m.CutOff)
 				require.True(t, all || m.Instance.Zone == "a", "the own zone serves while it can")
 				load[m.Instance.Address]++
--- a/internal/process/relayer/builds_test.go
+++ b/internal/process/relayer/builds_test.go
@@ -181,11 +181,11 @@
 			}
 		}
 	}, a)
-	n.SetFacts(Facts{Capacity: 2.5})
-	require.Equal(t, Facts{Capacity: 2.5}, <-facts)
-	n.SetFacts(Facts{Capacity: 2.5})
-	n.SetFacts(Facts{Capacity: 0.5})
-	require.Equal(t, Facts{Capacity: 0.5}, <-facts, "facts that have not changed are not sent again")
+	n.SetFacts(Facts{Cores: 2.5})
+	require.Equal(t, Facts{Cores: 2.5}, <-facts)
+	n.SetFacts(Facts{Cores: 2.5})
+	n.SetFacts(Facts{Cores: 0.5})
+	require.Equal(t, Facts{Cores: 0.5}, <-facts, "facts that have not changed are not sent again")
 	require.True(t, n.Features(b).Has(TellsFacts))
 	require.True(t, receiver.Features(a).Has(TellsFacts))
 
@@ -194,8 +194,8 @@
 		MaxPayloadBytes: MaxFrameBytes, Timeout: time.Second,
 	}
 	c := dial(t, &e, a)
-	n.SetFacts(Facts{Capacity: 4})
-	require.Equal(t, Facts{Capacity: 4}, <-facts)
+	n.SetFacts(Facts{Cores: 4})
+	require.Equal(t, Facts{Cores: 4}, <-facts)
 	m, err := framer.Encode(kindCatchup, 3, &announcement{})
 	require.NoError(t, err)
 	_, err = c.Write(m)
--- a/internal/process/relayer/facts.go
+++ b/internal/process/relayer/facts.go
@@ -12,9 +12,13 @@
 type Facts struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
-	// Capacity is the work that the instance can carry at present, relative to the other
-	// instances. 0 means unknown.
-	Capacity float64
+	// Cores is the share of a processor's core that the instance may use, times its speed,
+	// and LinkRate the rate of its network link in bytes per second. 0 means unknown.
+	Cores, LinkRate float64
+	// Ease is the part of its capacity with which the instance should be counted at present.
+	Ease float64
+	// Report rises each time that the instance tells its ease again.
+	Report uint64
 }
 
 // revisedFacts is this instance's facts with a revision that rises with each change.
