Starting instance: pull no document of another zone before its own first read

TestStartFetchesNoDocumentFromARemoteZone failed once on a machine at a load of 37: a ping of the other zone announced documents before the instance's first read of the store had ended, and it pulled both across zones. Its own calls (one list, one watch) were answered.

--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -152,6 +152,8 @@
 	ready atomic.Bool
 	// caughtUp is set once a peer has sent its documents and rumors.
 	caughtUp atomic.Bool
+	// platformAwaited is set once the first call to the platform has ended or taken too long.
+	platformAwaited atomic.Bool
 	// incarnation identifies this run of the instance; it is never 0.
 	incarnation uint64
 	// assessor measures this instance, fleet holds what all instances tell of themselves.
--- a/internal/process/composer/peers.go
+++ b/internal/process/composer/peers.go
@@ -25,8 +25,13 @@
 // any zone.
 const confirmationTTL = 2 * time.Second
 
-// documentsCurrent reports whether this instance's documents are known to be current.
+// documentsCurrent reports whether this instance's documents are known to be current, or are
+// just being read from the platform after a start. A document that a ping of another zone
+// announces meanwhile is not needed.
 func (i *Instance) documentsCurrent(now time.Time) bool {
+	if !i.platformAwaited.Load() {
+		return true
+	}
 	c := i.syncer.CurrentAsOf()
 	return !c.IsZero() && now.Sub(c) < confirmationTTL
 }
--- a/internal/process/composer/start.go
+++ b/internal/process/composer/start.go
@@ -49,6 +49,7 @@
 // peers.
 func (i *Instance) askPeers(ctx context.Context) {
 	i.awaitPlatform(ctx)
+	i.platformAwaited.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, catchupTimeout)
 	defer cancel()
 	reached := i.relayer.Catchup(ctx, nil)
