Store eras: lists keep the store's revision as their number until it returns from a copy

Cause: with the era itself in the high bits, a store that names an era from the start gave the lists of this build higher numbers than those that older builds read, so a zone with a reader of an older build would have stood still during an upgrade (found by reading).

Change: registrar.Numbering counts eras from the first one met, learns from lists of other instances, and refuses lists of earlier eras; what was held is offered again under its new number. A store that names era 0 is told apart from one that names none.

--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -121,6 +121,7 @@
 	self      lister.Instance
 	tables    *adopter.Adopter[router.Table]
 	lists     *adopter.Adopter[registrar.List]
+	numbering registrar.Numbering
 	registrar *registrar.Registrar
 	forwarder *forwarder.Forwarder
 	// targetsMutex is held while the usable runs are passed from the registrar to the
@@ -151,7 +152,7 @@
 	i.self = lister.Instance{Address: o.Front, Peer: o.Peer, Place: o.Zone, Zone: o.Zone, State: lister.Live}
 	i.instanceCount.Store(1)
 	i.tables = &adopter.Adopter[router.Table]{Check: checkTable, OnChange: i.tableChanged, OnReject: i.documentRejected}
-	i.lists = &adopter.Adopter[registrar.List]{Check: checkList, OnChange: i.listChanged, OnReject: i.documentRejected}
+	i.lists = &adopter.Adopter[registrar.List]{Check: i.checkList, OnChange: i.listChanged, OnReject: i.documentRejected}
 	i.registrar = registrar.New(i.runChanged)
 	i.registrar.Warmup = i.warmup
 	i.seeker = &seeker.Seeker{Random: rand.IntN}
--- a/internal/process/composer/documents.go
+++ b/internal/process/composer/documents.go
@@ -22,12 +22,16 @@
 	return t, t.Version, nil
 }
 
-// checkList decodes a list of targets and returns its revision.
-func checkList(text []byte) (*registrar.List, uint64, error) {
+// checkList decodes a list of targets and returns its revision. A list of an earlier era of
+// the platform's store than is known has a fault.
+func (i *Instance) checkList(text []byte) (*registrar.List, uint64, error) {
 	l, err := registrar.Decode(text)
 	if err != nil {
 		return nil, 0, err
 	}
+	if err := i.numbering.Check(l); err != nil {
+		return nil, 0, err
+	}
 	return l, l.Revision, nil
 }
 
@@ -50,11 +54,29 @@
 	case relayer.Settings:
 		return i.tables.Offer(text, 0, 0, now) == adopter.Accepted
 	case relayer.List:
-		return i.lists.Offer(text, 0, 0, now) == adopter.Accepted
+		held := i.lists.Current()
+		v := i.lists.Offer(text, 0, 0, now)
+		i.renumberList(held, now)
+		return v == adopter.Accepted
 	}
 	return false
 }
 
+// renumberList offers a list that was in force again if it has a higher revision by what the
+// offer of another list has shown. It may be newer than that one.
+func (i *Instance) renumberList(held *registrar.List, now time.Time) {
+	if held == nil {
+		return
+	}
+	l := i.numbering.Renumbered(held)
+	if l == nil {
+		return
+	}
+	if err := i.offerNumbered(l, now); err != nil {
+		_ = level.Error(i.options.Logger).Log("msg", "document rejected", "version", i.lists.Stamp(), "err", err)
+	}
+}
+
 // offerTable offers settings that were read from the platform to their adopter.
 func (i *Instance) offerTable(t *router.Table, now time.Time) error {
 	text, err := t.Encode()
@@ -66,6 +88,13 @@
 
 // offerList offers a list that was read from the platform to its adopter.
 func (i *Instance) offerList(l *registrar.List, now time.Time) error {
+	if err := i.numbering.Number(l); err != nil {
+		return trace.Wrap(err)
+	}
+	return i.offerNumbered(l, now)
+}
+
+func (i *Instance) offerNumbered(l *registrar.List, now time.Time) error {
 	text, err := l.Encode()
 	if err != nil {
 		return trace.Wrap(err)
--- a/internal/process/registrar/list.go
+++ b/internal/process/registrar/list.go
@@ -37,10 +37,12 @@
 
 // List is one revision of the platform's list of targets.
 type List struct {
-	// Revision orders lists; it is greater than 0.
+	// Revision orders lists; it is greater than 0. In a list that was just read from the
+	// platform it is the store's revision; Numbering replaces it.
 	Revision uint64 `json:"revision"`
 	// Era rises each time the platform's store returns from a copy and may have lost what it
-	// held; 0 if it names none. A list of a later era has a higher revision.
+	// held; 0 if it names none, or if an older build made the list. Numbering gives a list of
+	// a later era a higher revision.
 	Era uint64 `json:"era,omitzero"`
 	// MayBeIncomplete says that the list was made right after an outage of the platform
 	// and may lack entries of live targets.
