--- a/internal/connection/acceptor/reader.go
+++ b/internal/connection/acceptor/reader.go
@@ -5,44 +5,22 @@
 	"bytes"
 	"io"
 	"net/http"
-	"net/http/httputil"
-	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
 	"golang.org/x/net/http/httpguts"
+
+	"oriolecourse.example/oriolecourse/internal/connection/reserver"
+	"oriolecourse.example/oriolecourse/internal/connection/scanner"
 )
 
-// errHeaderTooLong is returned for a header or trailer that exceeds its limit.
-var errHeaderTooLong = trace.LimitExceeded("the header or trailer of the request exceeds its size limit")
+// errBodyTooLarge is returned for a body that exceeds its limit.
+var errBodyTooLarge = trace.LimitExceeded("the request body exceeds its size limit")
 
-// readHead reads the head of a request: the request line and the header, up to the
-// empty line.
+// readHead reads the head of a request. Empty lines before it are skipped (RFC 9112, 2.2).
 func readHead(r *bufio.Reader, maxBytes int) ([]byte, error) {
-	var head []byte
-	lineStart := 0
-	for {
-		part, err := r.ReadSlice('\n')
-		if head = append(head, part...); len(head) > maxBytes {
-			return nil, errHeaderTooLong
-		}
-		if err == bufio.ErrBufferFull {
-			continue
-		}
-		if err != nil {
-			return nil, err
-		}
-		line := bytes.TrimRight(head[lineStart:], "\r\n")
-		lineStart = len(head)
-		if len(line) > 0 {
-			continue
-		}
-		if len(bytes.TrimSpace(head)) > 0 {
-			return head, nil
-		}
-		// Empty lines before a request are skipped (RFC 9112, 2.2).
-		head, lineStart = head[:0], 0
-	}
+	head, err := scanner.ReadHead(r, maxBytes)
+	return bytes.TrimLeft(head, "\r\n"), err
 }
 
 // parseHead parses a head. It refuses a request with both Content-Length and
@@ -74,28 +52,7 @@
 	if len(h.TransferEncoding) == 0 {
 		return io.LimitReader(r, h.ContentLength)
 	}
-	return io.MultiReader(httputil.NewChunkedReader(r), &trailerReader{r})
-}
-
-// maxTrailerBytes bounds the trailer of a body. Trailers are not passed on.
-const maxTrailerBytes = 4 << 10
-
-// trailerReader reads and discards the trailer after the last chunk.
-type trailerReader struct{ reader *bufio.Reader }
-
-// Read implements io.Reader.
-func (t *trailerReader) Read([]byte) (int, error) {
-	for remaining := maxTrailerBytes; remaining > 0; {
-		line, err := t.reader.ReadSlice('\n')
-		if err != nil {
-			return 0, err
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return 0, io.EOF
-		}
-		remaining -= len(line)
-	}
-	return 0, errHeaderTooLong
+	return scanner.NewChunkedReader(r)
 }
 
 // deadlineReader sets a new read deadline before each read of a body.
@@ -110,21 +67,43 @@
 	return r.body.Read(p)
 }
 
-// memoryWriter adds the number of bytes written to it to the total of all bodies.
-type memoryWriter struct {
-	total    *atomic.Int64
-	maxTotal int64
-	written  int64
-}
+// firstBufferBytes is the size of the first buffer for a body of unknown length.
+const firstBufferBytes = 4 << 10
 
-// Write implements io.Writer. It fails if the total exceeds maxTotal.
-func (c *memoryWriter) Write(p []byte) (int, error) {
-	c.written += int64(len(p))
-	if c.total.Add(int64(len(p))) > c.maxTotal {
-		return 0, errBodyMemory
+// readReserved reads a body of at most maxBytes into memory that it takes from m. The
+// length is -1 if it is unknown; memory for a known length is taken before anything is
+// read. It returns the body and the bytes that it has taken, none if it fails.
+func readReserved(body io.Reader, length, maxBytes int64, m *reserver.Reserver) ([]byte, int64, error) {
+	// One byte more shows that a body of unknown length exceeds maxBytes.
+	size := min(firstBufferBytes, maxBytes+1)
+	if length >= 0 {
+		size = length
+	}
+	if !m.Take(size) {
+		return nil, 0, errBodyMemory
+	}
+	content := make([]byte, 0, size)
+	for {
+		n, err := io.ReadFull(body, content[len(content):cap(content)])
+		content = content[:len(content)+n]
+		switch isFull := len(content) == cap(content); {
+		case length < 0 && (err == io.EOF || err == io.ErrUnexpectedEOF), length >= 0 && isFull:
+			return content, size, nil
+		case err == nil && int64(len(content)) <= maxBytes:
+		case err == nil:
+			m.Release(size)
+			return nil, 0, errBodyTooLarge
+		default:
+			m.Release(size)
+			return nil, 0, err
+		}
+		larger := min(2*size, maxBytes+1)
+		if !m.Take(larger) {
+			m.Release(size)
+			return nil, 0, errBodyMemory
+		}
+		content = append(make([]byte, 0, larger), content...)
+		m.Release(size)
+		size = larger
 	}
-	return len(p), nil
 }
-
-// release subtracts the written bytes from the total.
-func (c *memoryWriter) release() { c.total.Add(-c.written) }
--- a/internal/process/composer/documents.go
+++ b/internal/process/composer/documents.go
@@ -114,8 +114,10 @@
 	return nil
 }
 
-func (i *Instance) tableChanged(t *router.Table, s adopter.Stamp, _ time.Time) {
+func (i *Instance) tableChanged(t *router.Table, s adopter.Stamp, now time.Time) {
 	_ = level.Info(i.options.Logger).Log("msg", "settings in force", "version", s, "routes", len(t.Routes), "services", len(t.Services))
+	// The bound on a cold target depends on its service.
+	i.updateTargets(now)
 }
 
 func (i *Instance) listChanged(l *registrar.List, s adopter.Stamp, now time.Time) {
@@ -144,8 +146,7 @@
 	return 0
 }
 
-// updateTargets passes the runs that the registrar considers usable to the forwarder. Updates
-// wait for each other, or an older set could replace a newer one.
+// updateTargets passes the runs that the registrar considers usable to the forwarder.
 func (i *Instance) updateTargets(now time.Time) {
 	i.targetsMutex.Lock()
 	defer i.targetsMutex.Unlock()
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -16,10 +16,12 @@
 
 	"oriolecourse.example/oriolecourse/internal/connection/acceptor"
 	"oriolecourse.example/oriolecourse/internal/connection/exchanger"
+	"oriolecourse.example/oriolecourse/internal/connection/reserver"
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
 	"oriolecourse.example/oriolecourse/internal/process/limiter"
 	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
 	"oriolecourse.example/oriolecourse/internal/process/registrar"
+	"oriolecourse.example/oriolecourse/internal/request/admitter"
 	"oriolecourse.example/oriolecourse/internal/request/placer"
 	"oriolecourse.example/oriolecourse/internal/version/router"
 )
@@ -43,10 +45,8 @@
 	TargetName func(h http.Header) string
 	// Load returns the load that a response reports, and whether it reports one.
 	Load func(h http.Header) (placer.Load, bool)
-	// Limit returns the requests per second that a target takes from all instances
-	// together, as its response names them. It is limiter.Unlimited if the response names
-	// no limit.
-	Limit func(h http.Header) float64
+	// Statement returns what a target says of itself in a response.
+	Statement func(r *sender.Response) Statement
 }
 
 // Budget bounds the load that the whole fleet adds to the requests of clients.
@@ -60,6 +60,9 @@
 	RetryWindow    time.Duration
 	// ProbeRate is the greatest number of probes per target and second.
 	ProbeRate float64
+	// A cold target gets at most WarmupOvershoot times the WarmupRate of its service, plus
+	// WarmupSlack, requests in any second. If WarmupOvershoot is 0, there is no bound.
+	WarmupOvershoot, WarmupSlack float64
 }
 
 // Options configures a forwarder.
@@ -70,6 +73,8 @@
 	// LocalAddress is the address from which targets are reached; the zero value means any.
 	LocalAddress netip.Addr
 	Budget       Budget
+	// Memory counts what is held of streamed responses.
+	Memory *reserver.Reserver
 	// Table returns the routing table in force, or nil before the first one.
 	Table func() *router.Table
 	// InstanceCount returns the number of instances that may be running, this one
@@ -83,6 +88,11 @@
 	// OnTargetReplaced is called when a target with another name responds at the
 	// address of a run. The key identifies the run.
 	OnTargetReplaced func(key string, now time.Time)
+	// OnTargetLeaving is called when a response of a run says that it takes no new requests.
+	OnTargetLeaving func(key string, now time.Time)
+	// OnTargetWarmup is called when a health response of a run says how long it stays cold.
+	// It reports whether that is news.
+	OnTargetWarmup func(service, key string, left time.Duration, now time.Time) bool
 	// LimitOwner returns the owner of a run in a zone and whether it is this instance. The
 	// owner counts the messages of all instances to the run if the run names a limit.
 	LimitOwner func(key, zone string) (o limiter.Owner, own bool)
@@ -115,6 +125,8 @@
 	quarantiner *quarantiner.Table
 	splitter    *router.Splitter
 	limiter     *limiter.Limiter
+	admitter    *admitter.Admitter
+	misread     misread
 	counters    counters
 
 	// servicesByAddress holds the service of each target that may get new requests.
@@ -139,11 +151,12 @@
 		quarantiner: quarantiner.New(quarantiner.DefaultLimits),
 		splitter:    router.NewSplitter(rand.IntN),
 		limiter:     limiter.New(),
+		admitter:    admitter.New(),
 		counters:    newCounters(o.Scope),
 		services:    map[string]*service{},
 	}
 	f.budget.Store(&o.Budget)
-	f.exchanger.LocalAddress = o.LocalAddress
+	f.exchanger.LocalAddress, f.exchanger.Memory = o.LocalAddress, o.Memory
 	f.exchanger.OnConnect = func(netip.AddrPort) { f.counters.connections.Inc(1) }
 	f.exchanger.OnContact = f.recordContact
 	return f
@@ -171,7 +184,10 @@
 		}
 	}
 	f.setLinks(usable)
-	f.limiter.Retain(func(key string) bool { return listed[key] }, now)
+	isListed := func(key string) bool { return listed[key] }
+	f.limiter.Retain(isListed, now)
+	f.misread.retain(isListed)
+	f.admitter.Retain(isListed, now)
 }
 
 // ReceiveRumor applies the rumor of a peer that a target did not complete its response
@@ -241,5 +257,8 @@
 // LimitedTargets returns the number of runs that name a limit.
 func (f *Forwarder) LimitedTargets() int { return f.limiter.Count() }
 
+// RestrictedTargets returns the number of runs that are paused and of those that are cold.
+func (f *Forwarder) RestrictedTargets(now time.Time) (paused, cold int) { return f.admitter.Count(now) }
+
 // Connections returns the number of open connections to targets.
 func (f *Forwarder) Connections() int { return f.exchanger.OpenConnections() }
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -13,7 +13,6 @@
 
 	"oriolecourse.example/oriolecourse/internal/connection/exchanger"
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
-	"oriolecourse.example/oriolecourse/internal/process/limiter"
 	"oriolecourse.example/oriolecourse/internal/process/registrar"
 	"oriolecourse.example/oriolecourse/internal/process/surveyor"
 	"oriolecourse.example/oriolecourse/internal/request/budgeter"
@@ -24,6 +23,8 @@
 	// probeTimeout bounds a probe. It is longer than the placer waits for a report,
 	// so that the connection to a target that responds late stays open.
 	probeTimeout = 150 * time.Millisecond
+	// maxProbeBytes bounds the body of the response to a probe, which is not used.
+	maxProbeBytes = 64 << 10
 	// connectionShare is the share of a target's connections that the known instances
 	// use together. Instances that are not known here may use the rest.
 	connectionShare = 0.7
@@ -73,6 +74,7 @@
 	s.retries.Window, s.retries.Rounding = f.budget.Load().RetryWindow, rand.Float64()
 	s.placer = placer.New(f.options.Zone, rand.Float64, s.allowProbes)
 	s.placer.CanSearch = f.options.CanSearch
+	s.placer.Admitter = f.admitter
 	s.placer.NeedsRecheck = s.needsRecheck
 	s.timer = time.AfterFunc(never, s.onTimer)
 	return s
@@ -118,10 +120,12 @@
 
 func (s *service) setTargets(usable []registrar.UsableRun, now time.Time) {
 	targets := make([]placer.Target, 0, len(usable))
-	for _, u := range usable {
+	rate := s.forwarder.warmupRate(s.name)
+	for i := range usable {
+		u := &usable[i]
+		s.setWarmup(u, rate, now)
 		targets = append(targets, placer.Target{
 			ID: u.Key(), Name: u.Name, Address: u.Address, Zone: u.Zone, Slots: u.Slots, WarmupEnd: u.WarmupEnd,
-			Limited: s.forwarder.limiter.Rate(u.Key()) != limiter.Unlimited,
 		})
 	}
 	s.targets.Store(&targets)
@@ -207,12 +211,23 @@
 	s.step(now)
 }
 
+// report passes the load that a target reported, if any, to the placer.
+func (s *service) report(g *placer.Grant, load *placer.Load, now time.Time) {
+	if load == nil {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.placer.Report(g.Target.ID, *load, now, now)
+	s.step(now)
+}
+
 // withhold tells the placer that a granted request was not sent, because its target takes
 // no further request for some time.
 func (s *service) withhold(g *placer.Grant, wait time.Duration, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.placer.Withhold(g.Target.ID, g.Ticket, now.Add(wait))
+	s.placer.Withhold(g.Target.ID, g.Ticket, now.Add(wait), now)
 	s.step(now)
 }
 
@@ -229,14 +244,6 @@
 	return slices.ContainsFunc(s.linkTargets(), func(t placer.Target) bool { return t.ID == id })
 }
 
-// reportSlow tells the placer that a request at a target takes much longer than
-// expected.
-func (s *service) reportSlow(g *placer.Grant, now time.Time) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.placer.ReportSlow(g.Target.ID, now)
-}
-
 // maxConnections returns the greatest number of connections that this instance may
 // open to one target.
 func (s *service) maxConnections() int {
@@ -261,7 +268,7 @@
 	return &exchanger.Request{
 		Method: http.MethodGet, Path: path, Host: t.Address.String(),
 		IDHeader: s.forwarder.options.Dialect.RequestID, NotExecuted: func(*sender.Response) bool { return false },
-		MaxConnections: s.maxConnections(),
+		MaxConnections: s.maxConnections(), MaxResponseBytes: maxProbeBytes,
 	}
 }
 
@@ -275,11 +282,11 @@
 	now := time.Now()
 	if err == nil {
 		s.recordAnswer(now)
-		if name := f.options.Dialect.TargetName(response.Header); name != "" && name != t.Name {
+		if !s.isFrom(t, response) {
 			f.options.OnTargetReplaced(t.ID, now)
 			return
 		}
-		s.observeLimit(t, response, forProbe, now)
+		s.observe(t, response, forProbe, now)
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
