--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -131,6 +131,7 @@
 	self      lister.Instance
 	tables    *adopter.Adopter[router.Table]
 	lists     *adopter.Adopter[registrar.List]
+	numbering registrar.Numbering
 	registrar *registrar.Registrar
 	forwarder *forwarder.Forwarder
 	// targetsMutex orders the updates of the forwarder's targets, so that an older state of
@@ -178,7 +179,7 @@
 	i.assessor = &assessor.Assessor{Resources: o.Resources}
 	i.facts = relayer.Facts{Cores: o.Resources.Cores, LinkRate: o.Resources.Link, Ease: 1}
 	i.tables = &adopter.Adopter[router.Table]{Check: checkTable, OnChange: i.tableChanged, OnReject: i.documentRejected}
-	i.lists = &adopter.Adopter[registrar.List]{Check: checkList, OnChange: i.listChanged, OnReject: i.documentRejected}
+	i.lists = &adopter.Adopter[registrar.List]{Check: i.checkList, OnChange: i.listChanged, OnReject: i.documentRejected}
 	i.registrar = registrar.New(i.runChanged)
 	i.registrar.Warmup = i.warmup
 	share := func(part float64) int64 { return int64(part * float64(o.MemoryBytes)) }
