--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -20,7 +20,9 @@
 
 	"oriolecourse.example/oriolecourse/internal/connection/acceptor"
 	"oriolecourse.example/oriolecourse/internal/connection/framer"
+	"oriolecourse.example/oriolecourse/internal/connection/reserver"
 	"oriolecourse.example/oriolecourse/internal/process/adopter"
+	"oriolecourse.example/oriolecourse/internal/process/assessor"
 	"oriolecourse.example/oriolecourse/internal/process/detector"
 	"oriolecourse.example/oriolecourse/internal/process/director"
 	"oriolecourse.example/oriolecourse/internal/process/forwarder"
@@ -51,9 +53,14 @@
 	// between two queries.
 	handlerHeaderTimeout = time.Second
 	handlerIdleTimeout   = 10 * time.Second
-	// bodyMemoryShare is the share of Options.MemoryBytes that request bodies may use.
-	// Responses, documents and connections need memory too.
-	bodyMemoryShare = 0.25
+	// memoryShare is the share of Options.MemoryBytes that the bodies of requests and
+	// responses may use. Documents, connections and garbage need memory too.
+	memoryShare = 0.5
+	// requestMemoryShare and aheadMemoryShare are the parts for request bodies and for what
+	// is read ahead of slow clients. Their sum is less than memoryShare, so that neither
+	// leaves other requests without room.
+	requestMemoryShare = 0.35
+	aheadMemoryShare   = 0.1
 	// reservedFiles is the number of file descriptors that are not used for client
 	// connections. They are left for connections to targets, peers and the platform,
 	// and for Options.Handlers.
@@ -96,7 +103,10 @@
 	// MemoryBytes is the memory that the process may use, in bytes. MaxFiles is the
 	// greatest number of file descriptors.
 	MemoryBytes int64
-	MaxFiles    int
+	// Resources is the share of the processor and the rate of the network link; zero if
+	// unknown.
+	Resources assessor.Resources
+	MaxFiles  int
 	// NewSource returns the reader of the platform's data, which passes the data to
 	// the sink.
 	NewSource func(s Sink) Source
@@ -123,8 +133,8 @@
 	lists     *adopter.Adopter[registrar.List]
 	registrar *registrar.Registrar
 	forwarder *forwarder.Forwarder
-	// targetsMutex is held while the usable runs are passed from the registrar to the
-	// forwarder.
+	// targetsMutex orders the updates of the forwarder's targets, so that an older state of
+	// the registrar never replaces a newer one.
 	targetsMutex sync.Mutex
 	relayer      *relayer.Relayer
 	syncer       *syncer.Syncer
@@ -132,6 +142,8 @@
 	// limitOwners holds the owners of the targets that name limits.
 	limitOwners limiter.Owners
 	acceptor    *acceptor.Acceptor
+	// memory counts the bodies of requests and responses.
+	memory *reserver.Reserver
 	// startTime is the time at which New was called.
 	startTime time.Time
 	// leaving is set once shutdown has begun.
@@ -140,6 +152,18 @@
 	ready atomic.Bool
 	// caughtUp is set once a peer has sent its documents and rumors.
 	caughtUp atomic.Bool
+	// platformAwaited is set once the first call to the platform has ended or taken too long.
+	platformAwaited atomic.Bool
+	// incarnation identifies this run of the instance; it is never 0.
+	incarnation uint64
+	// assessor measures this instance, fleet holds what all instances tell of themselves.
+	assessor *assessor.Assessor
+	fleet    assessor.Fleet
+	// requests counts the requests of clients that have ended.
+	requests atomic.Uint64
+	// facts is what this instance tells, last changed at toldAt. Only maintain uses them.
+	facts  relayer.Facts
+	toldAt time.Time
 	// instanceCount is the number of instances that may be running, this one
 	// included.
 	instanceCount atomic.Int64
@@ -150,14 +174,20 @@
 	i := &Instance{options: o, startTime: time.Now()}
 	i.self = lister.Instance{Address: o.Front, Peer: o.Peer, Place: o.Zone, Zone: o.Zone, State: lister.Live}
 	i.instanceCount.Store(1)
+	i.incarnation = rand.Uint64() | 1
+	i.assessor = &assessor.Assessor{Resources: o.Resources}
+	i.facts = relayer.Facts{Cores: o.Resources.Cores, LinkRate: o.Resources.Link, Ease: 1}
 	i.tables = &adopter.Adopter[router.Table]{Check: checkTable, OnChange: i.tableChanged, OnReject: i.documentRejected}
 	i.lists = &adopter.Adopter[registrar.List]{Check: checkList, OnChange: i.listChanged, OnReject: i.documentRejected}
 	i.registrar = registrar.New(i.runChanged)
 	i.registrar.Warmup = i.warmup
+	share := func(part float64) int64 { return int64(part * float64(o.MemoryBytes)) }
+	i.memory = reserver.New(share(memoryShare), nil)
 	i.seeker = &seeker.Seeker{Random: rand.IntN}
 	i.forwarder = forwarder.New(forwarder.Options{
 		Dialect: o.Dialect, Zone: o.Zone, LocalAddress: o.TargetsFrom, Budget: o.Budget,
-		Table: i.tables.Current, InstanceCount: func() int { return int(i.instanceCount.Load()) },
+		Memory: reserver.New(share(aheadMemoryShare), i.memory),
+		Table:  i.tables.Current, InstanceCount: func() int { return int(i.instanceCount.Load()) },
 		SpreadRumor: i.spreadRumor, OnTargetReplaced: i.targetReplaced,
 		OnTargetLeaving: i.targetLeaving, OnTargetWarmup: i.targetWarmup, CanSearch: i.canSearch, Search: i.search,
 		LimitOwner: i.limitOwner, AskPermit: i.askPermit, SpreadLimit: i.spreadLimit,
@@ -165,11 +195,10 @@
 		Logger: o.Logger, Scope: o.Scope,
 	})
 	i.relayer = relayer.New(relayer.Options{
-		// An incarnation is never zero.
-		Self: i.self, Listen: o.PeerListen, Incarnation: rand.Uint64() | 1, Seeds: o.Seeds, Period: pingPeriod, RemotePingPeriods: remotePingPeriods,
+		Self: i.self, Listen: o.PeerListen, Incarnation: i.incarnation, Seeds: o.Seeds, Period: pingPeriod, RemotePingPeriods: remotePingPeriods,
 		Keys:      func() framer.Keys { return o.Keys },
 		Documents: i.document, OfferDocument: i.offerDocument, OnRumor: i.receiveRumor, OnConfirmation: i.recordConfirmation,
-		DocumentsCurrent: i.documentsCurrent, OnMembersChange: i.membersChanged,
+		DocumentsCurrent: i.documentsCurrent, OnMembersChange: i.membersChanged, OnFacts: i.receiveFacts,
 		OfferTargets: i.offerTargets,
 		Permit:       i.grantPermit,
 		Execute:      i.serveRelayed,
@@ -182,8 +211,8 @@
 	}
 	i.syncer.Prepare()
 	i.acceptor = &acceptor.Acceptor{
-		Handle: i.forwarder.Serve, Limits: i.limits,
-		MaxBodyMemory: int64(bodyMemoryShare * float64(o.MemoryBytes)),
+		Handle: i.serve, Limits: i.limits,
+		MaxBodyMemory: share(requestMemoryShare), Memory: i.memory,
 		// If few file descriptors are allowed, clients still get half of them.
 		MaxConnections: max(o.MaxFiles-reservedFiles, o.MaxFiles/2),
 		OnError:        i.clientFailed,
@@ -195,7 +224,7 @@
 // Run runs the instance until the context ends and the instance has shut down, or
 // until a part of it fails.
 func (i *Instance) Run(ctx context.Context) error {
-	_ = level.Info(i.options.Logger).Log("msg", "started", "front", i.options.Front, "peer", i.options.Peer, "zone", i.options.Zone)
+	_ = level.Info(i.options.Logger).Log("msg", "started", "build", relayer.BuildName(), "front", i.options.Front, "peer", i.options.Peer, "zone", i.options.Zone)
 	l, err := net.Listen("tcp4", i.options.Front.String())
 	if err != nil {
 		return trace.Wrap(err, "listening for clients on %s", i.options.Front)
@@ -238,7 +267,7 @@
 // Addresses returns the addresses of instances that the directory tells a client of
 // a zone.
 func (i *Instance) Addresses(zone string) []netip.AddrPort {
-	return director.Choose(zone, i.relayer.Self(), i.Ready(), i.relayer.Members(), rand.IntN)
+	return director.Choose(zone, i.relayer.Self(), i.Ready(), i.relayer.Members(), i.weigh, rand.IntN)
 }
 
 // maintain expires runs, closes idle connections and updates the gauges until the
@@ -252,13 +281,17 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
+			i.assessor.RecordLateness(time.Since(now))
 			if now.Sub(lastGauges) >= gaugeInterval {
 				lastGauges = now
+				i.assess(now)
 				i.updateGauges(now)
 			}
-			if i.registrar.Expire(now) {
+			zones := i.registrar.ExpireZones(now)
+			if i.registrar.Expire(now) || len(zones) > 0 {
 				i.updateTargets(now)
 			}
+			i.logZoneChanges(zones, i.lists.Stamp())
 			i.forwarder.CloseIdleConnections(now)
 			i.forwarder.CheckLinks(now)
 		}
@@ -277,9 +310,10 @@
 }
 
 // predecessors returns the live instances of the zone that are to read the platform's
-// data before this one does. The order is that of the peer addresses.
+// data before this one does. The order is that of the peer addresses. Instances of an
+// earlier build don't count, since the lists that they read say less.
 func (i *Instance) predecessors() []netip.AddrPort {
-	return slices.DeleteFunc(i.livePeers(), func(a netip.AddrPort) bool { return a.Compare(i.self.Peer) >= 0 })
+	return slices.DeleteFunc(i.livePeers(), func(a netip.AddrPort) bool { return a.Compare(i.self.Peer) >= 0 || i.readsLess(a) })
 }
 
 // zoneInstances returns the number of live instances of the zone, this one included.
--- a/internal/process/composer/documents.go
+++ b/internal/process/composer/documents.go
@@ -64,12 +64,18 @@
 	return i.announceIfAccepted(i.tables.Offer(text, 0, 0, now))
 }
 
+// listRank is the rank of lists that name the emptied zones.
+const listRank = 1
+
 // offerList offers a list that was read from the platform to its adopter.
 func (i *Instance) offerList(l *registrar.List, now time.Time) error {
 	text, err := l.Encode()
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	if i.besideEarlierBuilds() {
+		text = adopter.Rank(text, listRank)
+	}
 	return i.announceIfAccepted(i.lists.Offer(text, 0, 0, now))
 }
 
@@ -95,18 +101,18 @@
 	_ = level.Info(i.options.Logger).Log("msg", "targets listed", "version", s, "runs", len(l.Runs), "unsettled", l.MayBeIncomplete)
 	changes := i.registrar.Apply(l, now)
 	i.updateTargets(now)
-	for _, c := range changes {
-		i.logZoneChange(c, s)
-	}
+	i.logZoneChanges(changes, s)
 }
 
-func (i *Instance) logZoneChange(c registrar.ZoneChange, s adopter.Stamp) {
-	write := level.Info(log.With(i.options.Logger, "zone", c.Zone, "version", s, "runs", c.Runs, "busy", i.forwarder.RequestsInZones(c.Zone)))
-	if c.Emptied {
-		_ = write.Log("msg", "zone emptied")
-		return
+func (i *Instance) logZoneChanges(changes []registrar.ZoneChange, s adopter.Stamp) {
+	for _, c := range changes {
+		write := level.Info(log.With(i.options.Logger, "zone", c.Zone, "version", s, "runs", c.Runs, "busy", i.forwarder.RequestsInZones(c.Zone)))
+		if c.Emptied {
+			_ = write.Log("msg", "zone emptied")
+		} else {
+			_ = write.Log("msg", "zone taken back")
+		}
 	}
-	_ = write.Log("msg", "zone taken back")
 }
 
 // warmup returns the slow period of a service's targets by the settings in force.
@@ -117,8 +123,7 @@
 	return 0
 }
 
-// updateTargets passes the runs that the registrar considers usable to the forwarder. Updates
-// wait for each other, or an older set could replace a newer one.
+// updateTargets passes the runs that the registrar considers usable to the forwarder.
 func (i *Instance) updateTargets(now time.Time) {
 	i.targetsMutex.Lock()
 	defer i.targetsMutex.Unlock()
--- a/internal/process/forwarder/counters.go
+++ b/internal/process/forwarder/counters.go
@@ -20,6 +20,7 @@
 	probesFailed   tally.Counter
 	searches       tally.Counter
 	targetsOffered tally.Counter
+	streamed       tally.Counter
 	wait           tally.Histogram
 	latency        tally.Histogram
 	reportAge      tally.Histogram
@@ -34,6 +35,7 @@
 		probesFailed:   s.Counter("probes_failed"),
 		searches:       s.Counter("searches_abroad"),
 		targetsOffered: s.Counter("targets_lent"),
+		streamed:       s.Counter("responses_streamed"),
 		wait:           s.Histogram("wait_seconds", durationBuckets),
 		latency:        s.Histogram("latency_seconds", durationBuckets),
 		reportAge:      s.Histogram("report_age_seconds", durationBuckets),
@@ -70,12 +72,22 @@
 	c.scope.Tagged(map[string]string{"service": service, "result": result}).Counter("permits").Inc(1)
 }
 
+// countCut counts a response that was cut off after its first part, by cause.
+func (c *counters) countCut(service, cause string) {
+	c.scope.Tagged(map[string]string{"service": service, "cause": cause}).Counter("responses_cut").Inc(1)
+}
+
 // countRevoked counts a granted request that was not sent because its target has become
 // unusable since.
 func (c *counters) countRevoked(service string) {
 	c.scope.Tagged(map[string]string{"service": service}).Counter("grants_revoked").Inc(1)
 }
 
+// countSilent counts a request that its target has dropped without a response.
+func (c *counters) countSilent(service string) {
+	c.scope.Tagged(map[string]string{"service": service}).Counter("silent_connections").Inc(1)
+}
+
 // countContact counts the first exchange of a connection to a target.
 func (c *counters) countContact(answered bool) {
 	result := "unanswered"
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -23,6 +23,8 @@
 	// probeTimeout bounds a probe. It is longer than the placer waits for a report,
 	// so that the connection to a target that responds late stays open.
 	probeTimeout = 150 * time.Millisecond
+	// maxProbeBytes bounds the body of the response to a probe, which is not used.
+	maxProbeBytes = 64 << 10
 	// connectionShare is the share of a target's connections that the known instances
 	// use together. Instances that are not known here may use the rest.
 	connectionShare = 0.7
@@ -209,6 +211,17 @@
 	s.step(now)
 }
 
+// report passes the load that a target reported, if any, to the placer.
+func (s *service) report(g *placer.Grant, load *placer.Load, now time.Time) {
+	if load == nil {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.placer.Report(g.Target.ID, *load, now, now)
+	s.step(now)
+}
+
 // withhold tells the placer that a granted request was not sent, because its target takes
 // no further request for some time.
 func (s *service) withhold(g *placer.Grant, wait time.Duration, now time.Time) {
@@ -231,14 +244,6 @@
 	return slices.ContainsFunc(s.linkTargets(), func(t placer.Target) bool { return t.ID == id })
 }
 
-// reportSlow tells the placer that a request at a target takes much longer than
-// expected.
-func (s *service) reportSlow(g *placer.Grant, now time.Time) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.placer.ReportSlow(g.Target.ID, now)
-}
-
 // maxConnections returns the greatest number of connections that this instance may
 // open to one target.
 func (s *service) maxConnections() int {
@@ -263,7 +268,7 @@
 	return &exchanger.Request{
 		Method: http.MethodGet, Path: path, Host: t.Address.String(),
 		IDHeader: s.forwarder.options.Dialect.RequestID, NotExecuted: func(*sender.Response) bool { return false },
-		MaxConnections: s.maxConnections(),
+		MaxConnections: s.maxConnections(), MaxResponseBytes: maxProbeBytes,
 	}
 }
 
--- a/internal/process/journaler/lines.go
+++ b/internal/process/journaler/lines.go
@@ -19,7 +19,7 @@
 
 // LineKinds describes all kinds of lines.
 var LineKinds = []LineKind{
-	{"started", "The process has started.", []string{"front", "peer", "zone"}},
+	{"started", "The process has started.", []string{"build", "front", "peer", "zone"}},
 	{"peers asked", "A starting instance has asked its seeds for documents and rumors.", []string{"reached"}},
 	{"ready", "The instance starts to accept clients.", []string{"after", "settings", "targets"}},
 	{"stopping", "The instance was asked to stop.", []string{"busy", "connections"}},
@@ -31,6 +31,7 @@
 
 	{"settings in force", "A version of the operators' configuration came into force.", []string{"version", "routes", "services"}},
 	{"configuration refused", "The operators' configuration cannot be used; the last valid one stays in force.", []string{"revision", "err"}},
+	{"unknown route type", "A route of the configuration has a type that is not known; its requests are sent at most once.", []string{"route", "type", "version"}},
 	{"document rejected", "A document from the platform or from a peer has faults.", []string{"version", "err"}},
 	{"document not pulled", "A document that a peer holds could not be fetched.", []string{"kind", "peer", "err"}},
 	{"targets listed", "A revision of the target list came into force.", []string{"version", "runs", "unsettled"}},
@@ -40,6 +41,7 @@
 	{"entry ignored", "An entry of the target list does not describe a valid target.", []string{"key", "revision", "err"}},
 	{"platform lost", "Calls to the platform start to fail.", []string{"err"}},
 	{"platform back", "Calls to the platform succeed again.", nil},
+	{"store returned from a copy", "The platform's store has returned from a copy that may lack what was written last; its revisions begin anew after the copy's. before is the revision that this reader held.", []string{"era", "revision", "before"}},
 	{"reader changed", "The instance starts or stops reading from the platform for its zone.", []string{"reading"}},
 	{"member changed", "The instance's view of another instance of its zone has changed.", []string{"peer", "incarnation", "state", "before", "leaving", "cut", "new"}},
 	{"rumor ignored", "A peer sent a rumor with a topic that is not used on a platform.", []string{"topic"}},
@@ -49,6 +51,8 @@
 	{"not sent", "The target became unusable after it was chosen and before the request was sent to it; another one is chosen.", []string{"request", "service", "target"}},
 	{"second try", "A request takes much longer than expected; the instance looks for another target for a hedge (a copy of the request).", []string{"request", "service", "after"}},
 	{"attempt failed", "A target sent no complete response, did not execute the request, or responded with a status of 500 or above.", []string{"request", "service", "target", "effect", "status", "took", "err"}},
+	{"target silent", "A target has dropped a request without a response, as targets of some services do when they are full.", []string{"request", "service", "target", "after"}},
+	{"response cut", "A large response ended early after its first part was passed to the client.", []string{"request", "service", "target", "cause", "took", "err"}},
 	{"held back", "A request that is suspected of crashing targets was not sent to one.", []string{"request", "verdict", "service", "return"}},
 	{"no route", "No route matches a request.", []string{"request", "host", "path", "version"}},
 	{"malformed request", "A request has no identifier, or its deadline is not a valid number of milliseconds.", []string{"request", "host", "path", "err"}},
@@ -80,6 +84,7 @@
 	{"service", "service of the targets"},
 	{"target", "run of a target: its identifier and its start in milliseconds of Unix time"},
 	{"address", "address of the target"},
+	{"build", "commit of the program, with + if its sources were changed"},
 	{"zone", "availability zone"},
 	{"waited", "time since the arrival of the request"},
 	{"expected", "expected duration of the request at the target"},
@@ -89,6 +94,7 @@
 	{"abroad", "whether the target is in a remote availability zone"},
 	{"attempt", "number of the attempt at a target, starting at 1"},
 	{"version", "version and digest of the document that came into force or was rejected; for a request, version of the configuration that was used to route it"},
+	{"type", "type of the route as the configuration names it"},
 	{"reason", "why no target was chosen: targetless (no run of the service is listed or all are leaving or in emptied zones, or the request was already tried at all of them), overdue (no start can meet the deadline), crowded (the requests ahead take longer to start than the request can wait), roomless (no target has a free slot for a hedge), limited (the targets that are left take no further request in time, by the limits that they name, their pauses and the permits for cold ones), cut (the instance can reach no target)"},
 	{"extra", "whether the target was for a hedge of a request that already runs at another target"},
 	{"return", "how long the client is asked to wait before it retries"},
@@ -96,11 +102,11 @@
 	{"outcome", "answered (response with a status below 500), failed (response with a status of 500 or above), refused (rejected; no target has executed the request), unknown (no complete response; a target may have executed the request), timed_out (no response in time; a target may have executed the request), client_left, no_route, malformed, not_ready (no configuration yet), quarantined (the request was held back), relayed (another instance responded, because this one is cut off from all targets), unreached (this instance is cut off from all targets and the one that relayed the request tries another)"},
 	{"status", "HTTP status; 0 without a response"},
 	{"took", "time from the arrival of the request, or from the start of the attempt, to the end"},
-	{"state, before", "state after the change and state before it; before is also the limit before the change"},
+	{"state, before", "state after the change and state before it; before is also the limit before the change, and the revision before the store returned from a copy"},
 	{"limit", "requests per second that the target takes from all instances together; +Inf without a limit"},
 	{"left", "how long the target wants nothing more from this instance, or stays cold"},
 	{"field, value", "name and value of the header field"},
-	{"cause", "who reported it, or what caused it"},
+	{"cause", "who reported it, or what caused it; for a response that was cut off: client (it has left or does not read), deadline, unread (the target broke off what a slow client left unread), target"},
 	{"err", "the error"},
 }
 
