Room of a service divided between requests, over all instances

Cause: with 40 or more instances, one or two requests wait at each, so the order among them decides little. Whichever instance probes a target first after a slot comes free takes it: requests that are late anyway keep fresh ones waiting until these are late too, and an urgent kind gets hardly more than the less urgent ones that share its service.

Change: the new package rationer gives each waiting request a standing. Late and outranked requests leave one slot of each target that reports its load. A client that returns after a rejection is known by its shorter deadline and counts as late while its kind is short. Without a request that has waited for half of its slack, only late requests are restricted. The counter deferrals says which route left slots to others, and why.

--- a/internal/process/forwarder/counters.go
+++ b/internal/process/forwarder/counters.go
@@ -83,3 +83,8 @@
 func (c *counters) countRejection(service, reason string) {
 	c.scope.Tagged(map[string]string{"service": service, "reason": reason}).Counter("refusals").Inc(1)
 }
+
+// countDeferral counts a request of a route that left a free slot to others, by the cause.
+func (c *counters) countDeferral(service, route, cause string) {
+	c.scope.Tagged(map[string]string{"service": service, "route": route, "cause": cause}).Counter("deferrals").Inc(1)
+}
--- a/internal/process/forwarder/request.go
+++ b/internal/process/forwarder/request.go
@@ -71,7 +71,9 @@
 	version uint64
 	// deadline is the client's deadline or the end of the route's timeout, whichever is
 	// earlier.
-	deadline    time.Time
+	deadline time.Time
+	// patience is the time for which the client waits, from its arrival.
+	patience    time.Duration
 	fingerprint quarantiner.Fingerprint
 	// mayHaveRun means that a target may have run the request.
 	mayHaveRun bool
@@ -113,7 +115,7 @@
 	r := &request{
 		Request: q, forwarder: f, route: route, version: version,
 		service:  f.service(f.splitter.Pick(route)),
-		deadline: now.Add(min(timeout, route.Timeout)), logger: logger,
+		deadline: now.Add(min(timeout, route.Timeout)), patience: timeout, logger: logger,
 	}
 	r.fingerprint = quarantiner.Sum("", r.service.name, route.Name, q.Method, q.RequestURI, q.Body)
 	response, o := (*acceptor.Response)(nil), unreached
@@ -193,6 +195,6 @@
 	return &placer.Ticket{
 		Kind: r.route.Name, Priority: r.route.Priority, Arrived: r.Arrived,
 		ObjectiveTime: r.Arrived.Add(r.route.LatencyObjective), Deadline: r.deadline, LatencyObjective: r.route.LatencyObjective,
-		NonIdempotent: !r.route.Idempotent, Hedge: hedge, Avoid: avoid,
+		Patience: r.patience, NonIdempotent: !r.route.Idempotent, Hedge: hedge, Avoid: avoid,
 	}
 }
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -146,6 +146,9 @@
 	for i := range actions.Rejections {
 		s.deliver(actions.Rejections[i].Ticket, decision{rejection: &actions.Rejections[i]})
 	}
+	for _, d := range actions.Deferrals {
+		s.forwarder.counters.countDeferral(s.name, d.Ticket.Kind, d.Cause.String())
+	}
 	for _, t := range actions.Probes {
 		go s.probe(t, now)
 	}
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oriolecourse.example/oriolecourse/internal/request/admitter"
+	"oriolecourse.example/oriolecourse/internal/request/rationer"
 )
 
 // Timing and limits of the choice.
@@ -106,7 +107,11 @@
 	// targets have room. If it is nil, none may.
 	NeedsRecheck func(t Target, now time.Time) bool
 
-	targets map[string]*targetState
+	// rationer divides the service's room while it is short.
+	rationer *rationer.Rationer
+	// deferrals holds those of the current step.
+	deferrals []Deferral
+	targets   map[string]*targetState
 	// searches holds the start of the outstanding search in each remote zone.
 	searches map[string]time.Time
 	// ids holds the identifiers of the targets in sorted order.
@@ -127,7 +132,8 @@
 // New returns a placer without targets.
 func New(zone string, random func() float64, allowProbes func(n int, now time.Time) int) *Placer {
 	return &Placer{
-		Zone: zone, Random: random, AllowProbes: allowProbes, LocalWait: defaultLocalWait, Admitter: admitter.New(),
+		Zone: zone, Random: random, AllowProbes: allowProbes, LocalWait: defaultLocalWait,
+		Admitter: admitter.New(), rationer: rationer.New(),
 		targets: map[string]*targetState{}, searches: map[string]time.Time{}, workTimes: map[string]time.Duration{},
 	}
 }
@@ -169,7 +175,12 @@
 }
 
 // Submit adds a request. Step decides about it.
-func (p *Placer) Submit(t *Ticket) { p.waiting = append(p.waiting, t) }
+func (p *Placer) Submit(t *Ticket) {
+	if !t.Hedge && len(t.Avoid) == 0 {
+		t.returned = p.rationer.Arrive(t.Kind, t.Patience, t.Arrived)
+	}
+	p.waiting = append(p.waiting, t)
+}
 
 // Withdraw removes a waiting request, for example when its client has disconnected.
 func (p *Placer) Withdraw(t *Ticket) {
--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -36,6 +36,7 @@
 	}
 	clear(p.waiting[len(kept):])
 	p.waiting = kept
+	a.Deferrals, p.deferrals = p.deferrals, nil
 	if len(kept) == 0 {
 		return a
 	}
@@ -98,6 +99,7 @@
 	t.slowdown = slowdown
 	best.running[t] = now
 	p.starts = append(p.starts, now)
+	p.rationer.Start(p.rationed(t), now)
 	return g, true, false
 }
 
@@ -112,10 +114,15 @@
 		age = min(max(2*now.Sub(t.Arrived), freshReportAge), staleReportAge)
 	}
 	noReports := p.noReports(t, usable, now)
+	standing := p.standing(t, now)
 	var free []*targetState
 	for _, s := range usable {
-		if (noReports || s.fresh(now, age)) && s.hasFreeSlot(now) {
+		switch {
+		case !noReports && !s.fresh(now, age) || !s.hasFreeSlot(now):
+		case s.hasRoom(standing, now):
 			free = append(free, s)
+		default:
+			p.recordDeferral(t, standing)
 		}
 	}
 	free = p.prefer(t, free, usable, now)
--- a/internal/request/placer/ticket.go
+++ b/internal/request/placer/ticket.go
@@ -14,6 +14,8 @@
 	ObjectiveTime time.Time
 	// Deadline is when the request is given up.
 	Deadline time.Time
+	// Patience is the time for which the client waits, from Arrived.
+	Patience time.Duration
 	// NonIdempotent means that the request must not run twice. It goes to a target
 	// without a recent failure if enough targets have none.
 	NonIdempotent bool
@@ -29,6 +31,10 @@
 
 	// rounds counts the rounds of probes since the request arrived.
 	rounds int
+	// returned means that the client probably returns after a rejection.
+	returned bool
+	// deferred means that the request has left a free slot to others.
+	deferred bool
 	// slowdown is the target's slowdown at the time of the grant; 0 means not granted.
 	slowdown float64
 }
@@ -86,6 +92,9 @@
 type Actions struct {
 	Grants     []Grant
 	Rejections []Rejection
+	// Deferrals holds the requests that have now left a free slot to others for the first
+	// time, because the service is short of room.
+	Deferrals []Deferral
 	// Probes holds the targets to probe for their load.
 	Probes []Target
 	// SearchZones holds the remote zones in which to ask an instance for targets with
