--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -117,7 +118,10 @@
 
 func (s *service) setTargets(usable []registrar.UsableRun, now time.Time) {
 	targets := make([]placer.Target, 0, len(usable))
-	for _, u := range usable {
+	rate := s.forwarder.warmupRate(s.name)
+	for i := range usable {
+		u := &usable[i]
+		s.setWarmup(u, rate, now)
 		targets = append(targets, placer.Target{
 			ID: u.Key(), Name: u.Name, Address: u.Address, Zone: u.Zone, Slots: u.Slots, WarmupEnd: u.WarmupEnd,
 		})
@@ -213,7 +217,7 @@
 func (s *service) withhold(g *placer.Grant, wait time.Duration, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.placer.Withhold(g.Target.ID, g.Ticket, now.Add(wait))
+	s.placer.Withhold(g.Target.ID, g.Ticket, now.Add(wait), now)
 	s.step(now)
 }
 
@@ -225,6 +229,11 @@
 	return s.placer.RetryAfterShed(now)
 }
 
+// isUsable reports whether a target may get new requests now.
+func (s *service) isUsable(id string) bool {
+	return slices.ContainsFunc(s.linkTargets(), func(t placer.Target) bool { return t.ID == id })
+}
+
 // reportSlow tells the placer that a request at a target takes much longer than
 // expected.
 func (s *service) reportSlow(g *placer.Grant, now time.Time) {
