placer: learn no work time beyond what the objective allows

Cause: the first request of the kind had taken 2.3 s in a cut, its time was learned as it was, and with a work time past the deadline no request of the kind starts, so nothing corrects it. A sample now counts as 0.6 of the objective at most, the bound that already held for the forecast of rejections.

--- a/internal/request/placer/overload_test.go
+++ b/internal/request/placer/overload_test.go
@@ -40,3 +40,18 @@
 	require.Equal(t, 5, f.Waiting())
 	require.Greater(t, f.RetryAfterShed(f.now), time.Second, "no request starts, and five wait")
 }
+
+// Replays a first request that was held up in a cut for longer than its kind's deadline.
+// Guards against a work time of that length, with which no request of the kind starts again
+// and nothing corrects it.
+func TestHeldUpFirstRequestDoesNotStopItsKind(t *testing.T) {
+	f := newFixture(t, 2, 0)
+	first := f.ticket()
+	f.submit(first)
+	f.report("a0", 0, 1)
+	id := f.grantedTarget(f.Step(f.now))
+	f.advance(2300*time.Millisecond).End(id, first, Served, f.now)
+	f.submit(f.ticket())
+	f.report("a0", 0, 1)
+	require.NotEmpty(t, f.grantedTarget(f.Step(f.now)))
+}
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -57,8 +57,8 @@
 	// assumedWorkShare is the work time, as a share of the latency objective, that is
 	// assumed until a request of the kind has been measured.
 	assumedWorkShare = 0.4
-	// maxWorkShare is the upper bound of shortestWorkTime, as a share of the latency
-	// objective. With a longer work time the objective could hardly ever be met.
+	// maxWorkShare is the longest work time that is learned from a request, as a share of
+	// the latency objective. With a longer one the objective could hardly ever be met.
 	maxWorkShare = 0.6
 	// workTimeGain is the weight of the newest request in the work time of its kind.
 	workTimeGain = 0.1
@@ -300,7 +300,9 @@
 	if t.slowdown == 0 {
 		return
 	}
-	work := float64(took) / t.slowdown
+	// A request that was held up on its way says little, and with a work time past its
+	// deadline no request of the kind would start again.
+	work := min(float64(took)/t.slowdown, maxWorkShare*float64(t.LatencyObjective))
 	before, known := p.workTimes[t.Kind]
 	if !known {
 		p.workTimes[t.Kind] = time.Duration(work)
