--- a/internal/process/composer/documents.go
+++ b/internal/process/composer/documents.go
@@ -86,6 +86,9 @@
 	return i.announceIfAccepted(i.tables.Offer(text, 0, 0, now))
 }
 
+// listRank is the rank of lists that name the emptied zones.
+const listRank = 1
+
 // offerList offers a list that was read from the platform to its adopter.
 func (i *Instance) offerList(l *registrar.List, now time.Time) error {
 	if err := i.numbering.Number(l); err != nil {
@@ -99,6 +102,9 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	if i.besideEarlierBuilds() {
+		text = adopter.Rank(text, listRank)
+	}
 	return i.announceIfAccepted(i.lists.Offer(text, 0, 0, now))
 }
 
