forwarder: an attempt that ends at the deadline is a timeout

The deadline closes the connection of an attempt, and its result could be handled before the deadline itself: 502 in place of 504. TestTargetsThatAreSilentWhenFull failed so once beside other load. Both promise nothing, so no caller was told anything untrue.

--- a/internal/process/forwarder/execution.go
+++ b/internal/process/forwarder/execution.go
@@ -359,6 +359,9 @@
 		return &acceptor.Response{Status: e.lastResponse.Status, Header: e.lastResponse.Header, Body: e.lastResponse.Body}, failed
 	case e.isUnreached():
 		return nil, unreached
+	case e.mayHaveRun && !time.Now().Before(e.deadline):
+		// The attempt ended because the deadline has passed.
+		return &acceptor.Response{Status: http.StatusGatewayTimeout}, timedOut
 	case e.mayHaveRun:
 		return &acceptor.Response{Status: http.StatusBadGateway}, unknown
 	case e.rejection != nil:
