--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oriolecourse.example/oriolecourse/internal/request/admitter"
+	"oriolecourse.example/oriolecourse/internal/request/rationer"
 )
 
 // Timing and limits of the choice.
@@ -56,8 +57,8 @@
 	// assumedWorkShare is the work time, as a share of the latency objective, that is
 	// assumed until a request of the kind has been measured.
 	assumedWorkShare = 0.4
-	// maxWorkShare is the upper bound of shortestWorkTime, as a share of the latency
-	// objective. With a longer work time the objective could hardly ever be met.
+	// maxWorkShare is the longest work time that is learned from a request, as a share of
+	// the latency objective. With a longer one the objective could hardly ever be met.
 	maxWorkShare = 0.6
 	// workTimeGain is the weight of the newest request in the work time of its kind.
 	workTimeGain = 0.1
@@ -106,7 +107,11 @@
 	// targets have room. If it is nil, none may.
 	NeedsRecheck func(t Target, now time.Time) bool
 
-	targets map[string]*targetState
+	// rationer divides the service's room while it is short.
+	rationer *rationer.Rationer
+	// deferrals holds those of the current step.
+	deferrals []Deferral
+	targets   map[string]*targetState
 	// searches holds the start of the outstanding search in each remote zone.
 	searches map[string]time.Time
 	// ids holds the identifiers of the targets in sorted order.
@@ -130,7 +135,8 @@
 // New returns a placer without targets.
 func New(zone string, random func() float64, allowProbes func(n int, now time.Time) int) *Placer {
 	return &Placer{
-		Zone: zone, Random: random, AllowProbes: allowProbes, LocalWait: defaultLocalWait, Admitter: admitter.New(),
+		Zone: zone, Random: random, AllowProbes: allowProbes, LocalWait: defaultLocalWait,
+		Admitter: admitter.New(), rationer: rationer.New(),
 		targets: map[string]*targetState{}, searches: map[string]time.Time{}, workTimes: map[string]time.Duration{},
 	}
 }
@@ -172,7 +178,12 @@
 }
 
 // Submit adds a request. Step decides about it.
-func (p *Placer) Submit(t *Ticket) { p.waiting = append(p.waiting, t) }
+func (p *Placer) Submit(t *Ticket) {
+	if !t.Hedge && len(t.Avoid) == 0 {
+		t.returned = p.rationer.Arrive(t.Kind, t.Patience, t.Arrived)
+	}
+	p.waiting = append(p.waiting, t)
+}
 
 // Withdraw removes a waiting request, for example when its client has disconnected.
 func (p *Placer) Withdraw(t *Ticket) {
@@ -289,7 +300,9 @@
 	if t.slowdown == 0 {
 		return
 	}
-	work := float64(took) / t.slowdown
+	// A request that was held up on its way says little, and with a work time past its
+	// deadline no request of the kind would start again.
+	work := min(float64(took)/t.slowdown, maxWorkShare*float64(t.LatencyObjective))
 	before, known := p.workTimes[t.Kind]
 	if !known {
 		p.workTimes[t.Kind] = time.Duration(work)
