--- a/internal/process/relayer/confirm.go
+++ b/internal/process/relayer/confirm.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"oriolecourse.example/oriolecourse/internal/connection/framer"
@@ -35,46 +34,9 @@
 	if err := m.Decode(&a); err != nil {
 		return err
 	}
-	if delay := r.pullDelay(a.Stamps); delay > 0 {
-		r.spawn(func() {
-			r.sleep(delay)
-			r.applyConfirmation(l, a.Stamps, time.Now())
-		})
-		return nil
-	}
-	r.applyConfirmation(l, a.Stamps, now)
-	return nil
-}
-
-func (r *Relayer) applyConfirmation(l *link, stamps [documentKindCount]stamp, now time.Time) {
-	r.pullNewer(l, stamps, now)
+	r.pullNewer(l, a.Stamps, now)
 	if r.options.OnConfirmation != nil {
 		r.options.OnConfirmation(l.peer, now)
 	}
-}
-
-const (
-	// pullSpacing is the mean time between two members of a place that ask the confirming
-	// one for a document. Meanwhile most of them get it from others.
-	pullSpacing = 3 * time.Millisecond
-	// maxPullDelay is short compared with the two seconds within which a change must take
-	// effect.
-	maxPullDelay = 300 * time.Millisecond
-	// smallPlace is the largest number of members of a place that ask at once.
-	smallPlace = 8
-)
-
-// pullDelay returns how long to wait before confirmed documents are pulled. It is random
-// in a large place, whose members would all ask the confirming one at once while the
-// documents still spread, and 0 if the documents are in force here.
-func (r *Relayer) pullDelay(confirmed [documentKindCount]stamp) time.Duration {
-	inForce, newer := r.stamps(), false
-	for k := range documentKindCount {
-		newer = newer || confirmed[k].newer(inForce[k])
-	}
-	members := len(sample(r.Members(), r.options.Self.Place, len(r.Members())))
-	if !newer || members <= smallPlace {
-		return 0
-	}
-	return rand.N(min(time.Duration(members)*pullSpacing, maxPullDelay))
+	return nil
 }
--- a/internal/process/relayer/confirm_test.go
+++ b/internal/process/relayer/confirm_test.go
@@ -42,22 +42,3 @@
 		require.LessOrEqual(t, documentsSent(reader)-before, uint64(size/2))
 	}
 }
-
-// Replays a confirmation that overtakes its document, because the members of a large place
-// need longer to read and to pass it on than the reader waits. Guards against all of them
-// pulling it from the reader, whose link then carries what the others don't.
-func TestConfirmationThatOvertakesItsDocument(t *testing.T) {
-	const size = 24
-	nodes := startFleet(t, size, detector.DefaultPeriod)
-	reader := nodes[0]
-	reader.confirmDelay = 0
-	reader.ConfirmDocuments()
-	before := documentsSent(reader)
-	reader.settings.Store(settingsText(2))
-	reader.Announce()
-	reader.ConfirmDocuments()
-	for _, n := range nodes {
-		eventually(t, "the new document in force at all instances", func() bool { return n.version() == 2 })
-	}
-	require.LessOrEqual(t, documentsSent(reader)-before, uint64(size/2))
-}
