--- a/internal/request/placer/ration_test.go
+++ b/internal/request/placer/ration_test.go
@@ -36,8 +36,7 @@
 
 // Replays an urgent kind among four times as many reads, all at 2.5 times their usual rate
 // for five seconds, at 14 instances. Guards against slots that go to whichever instance
-// probes a target first: 0.81 of the urgent requests and 0.45 of the reads then meet their
-// objective.
+// probes a target first: 0.81 of the urgent requests then meet their objective.
 func TestUrgentKindKeepsItsRoomInTheWholeFleet(t *testing.T) {
 	order, read := urgentOrder(burst(40, 100, 2*time.Second, 7*time.Second)), read(burst(152, 380, 2*time.Second, 7*time.Second))
 	newReplay(14, 35, order, read).run(10 * time.Second)
--- a/internal/request/rationer/doc.go
+++ b/internal/request/rationer/doc.go
@@ -13,9 +13,9 @@
 // each target to them, as in trunk reservation: they start only at a target that has
 // another slot free. So do all requests of a kind while a more urgent kind is short of
 // room, which it is at an instance for shortageMemory after one of its requests has
-// waited there for shortageWait of its slack. A slot that comes free at a busy target is then found
-// by a request that can use it in time, at whichever instance it waits. No messages pass
-// for this between instances, and an instance that sees no other keeps to it.
+// waited there for shortageWait of its slack. A slot that comes free at a busy target is
+// then found by a request that can use it in time, at whichever instance it waits. No
+// messages pass for this between instances, and an instance that sees no other keeps to it.
 //
 // A client that returns after a rejection counts its objective from its first attempt.
 // Its request is known by a deadline that is much shorter than that of other clients, and
