--- a/internal/connection/acceptor/reader.go
+++ b/internal/connection/acceptor/reader.go
@@ -67,8 +67,9 @@
 	return r.body.Read(p)
 }
 
-// firstBufferBytes is the size of the first buffer for a body of unknown length.
-const firstBufferBytes = 4 << 10
+// firstBufferBytes is the size of the first buffer for a body of unknown length. It counts
+// as held until the response is written, however short the body is.
+const firstBufferBytes = 512
 
 // readReserved reads a body of at most maxBytes into memory that it takes from m. The
 // length is -1 if it is unknown; memory for a known length is taken before anything is
