acceptor: a chunked body that ends in the middle of a chunk is not complete

Cause: the loop that counts the memory of a body took the early end that the chunk reader reports for the end of the body, so a request whose client left in the middle of a chunk was handled with a part of its body. TestTruncatedBodyIsNotHandled fails without the change. A body that fills the greatest buffer exactly is no longer refused for memory either (TestInvalidRequestsAreRefused/long_chunks with the smaller first buffer). go test -race -count=2 ./internal/connection/acceptor: passed.

--- a/internal/connection/acceptor/acceptor_test.go
+++ b/internal/connection/acceptor/acceptor_test.go
@@ -115,6 +115,24 @@
 	require.Equal(t, "GET /e ", body)
 }
 
+// TestTruncatedBodyIsNotHandled guards against a request whose client left in the middle of
+// a chunk and that reaches a target with a part of its body.
+func TestTruncatedBodyIsNotHandled(t *testing.T) {
+	for _, body := range []string{"5\r\nab", "2\r\nab\r\n", "2\r\nab\r\n0\r\n"} {
+		handled := atomic.Int32{}
+		_, address := startAcceptor(t, func(ctx context.Context, q *Request) *Response {
+			handled.Add(1)
+			return echo(ctx, q)
+		})
+		c, r := dial(t, address)
+		write(t, c, "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"+body)
+		require.NoError(t, c.(*net.TCPConn).CloseWrite())
+		_, err := r.ReadByte()
+		require.Error(t, err, "no response")
+		require.Zero(t, handled.Load(), "%q", body)
+	}
+}
+
 // TestInvalidRequestsAreRefused guards against the handling of malformed, too large
 // and too slow requests. Each must get an error status and a closed connection.
 func TestInvalidRequestsAreRefused(t *testing.T) {
--- a/internal/connection/acceptor/reader.go
+++ b/internal/connection/acceptor/reader.go
@@ -74,37 +74,47 @@
 // readReserved reads a body of at most maxBytes into memory that it takes from m. The
 // length is -1 if it is unknown; memory for a known length is taken before anything is
 // read. It returns the body and the bytes that it has taken, none if it fails.
-func readReserved(body io.Reader, length, maxBytes int64, m *reserver.Reserver) ([]byte, int64, error) {
-	// One byte more shows that a body of unknown length exceeds maxBytes.
-	size := min(firstBufferBytes, maxBytes+1)
-	if length >= 0 {
+func readReserved(body io.Reader, length, maxBytes int64, m *reserver.Reserver) (content []byte, size int64, err error) {
+	if size = min(firstBufferBytes, maxBytes); length >= 0 {
 		size = length
 	}
 	if !m.Take(size) {
 		return nil, 0, errBodyMemory
 	}
-	content := make([]byte, 0, size)
-	for {
-		n, err := io.ReadFull(body, content[len(content):cap(content)])
-		content = content[:len(content)+n]
-		switch isFull := len(content) == cap(content); {
-		case length < 0 && (err == io.EOF || err == io.ErrUnexpectedEOF), length >= 0 && isFull:
+	content = make([]byte, 0, size)
+	for err == nil {
+		switch {
+		case int64(len(content)) < size:
+			var n int
+			n, err = body.Read(content[len(content):size])
+			content = content[:len(content)+n]
+		case length >= 0:
 			return content, size, nil
-		case err == nil && int64(len(content)) <= maxBytes:
-		case err == nil:
-			m.Release(size)
-			return nil, 0, errBodyTooLarge
+		case size == maxBytes:
+			err = readEnd(body)
+		case !m.Take(min(2*size, maxBytes)):
+			err = errBodyMemory
 		default:
 			m.Release(size)
-			return nil, 0, err
-		}
-		larger := min(2*size, maxBytes+1)
-		if !m.Take(larger) {
-			m.Release(size)
-			return nil, 0, errBodyMemory
+			size = min(2*size, maxBytes)
+			content = append(make([]byte, 0, size), content...)
 		}
-		content = append(make([]byte, 0, larger), content...)
-		m.Release(size)
-		size = larger
 	}
+	switch {
+	case err == io.EOF && (length < 0 || int64(len(content)) == length):
+		return content, size, nil
+	case err == io.EOF:
+		err = io.ErrUnexpectedEOF
+	}
+	m.Release(size)
+	return nil, 0, err
+}
+
+// readEnd returns io.EOF if nothing follows in a body.
+func readEnd(body io.Reader) error {
+	var next [1]byte
+	if _, err := io.ReadFull(body, next[:]); err != nil {
+		return err
+	}
+	return errBodyTooLarge
 }
