--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -17,8 +18,9 @@
 type Meter struct {
 	// Scope is the root scope of all metrics.
 	Scope tally.Scope
-	// Handler serves the metrics in the Prometheus text format.
-	Handler http.Handler
+	// Handler serves the metrics in the Prometheus text format, and RuntimeHandler those of
+	// the Go runtime. They are apart because some readers keep only the start of a page.
+	Handler, RuntimeHandler http.Handler
 
 	closer io.Closer
 }
@@ -27,7 +29,8 @@
 func New() *Meter {
 	// A separate registry for each meter lets several instances run in one process.
 	registry := client.NewRegistry()
-	registry.MustRegister(client.NewGoCollector())
+	runtime := client.NewRegistry()
+	runtime.MustRegister(client.NewGoCollector())
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "oriolecourse",
@@ -36,7 +39,10 @@
 		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &Meter{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
+	return &Meter{
+		Scope: scope, Handler: reporter.HTTPHandler(),
+		RuntimeHandler: promhttp.HandlerFor(runtime, promhttp.HandlerOpts{}), closer: closer,
+	}
 }
 
 // Close reports the metrics for the last time.
