Log and count what the budgets are divided by, and what the retry budget grants

Neither the logs nor the metrics told among how many instances an instance divides the budgets of the fleet, nor how many retries the budget granted. New: the line 'sharers changed', the gauge sharers and the counter retries. No change of logic.

--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -168,6 +168,8 @@
 	// instanceCount is the number of instances that may be running, this one
 	// included.
 	instanceCount atomic.Int64
+	// loggedSharers is the number that logSharers has logged last; at first 1.
+	loggedSharers int
 }
 
 // New returns an instance that Run starts.
@@ -175,6 +177,7 @@
 	i := &Instance{options: o, startTime: time.Now()}
 	i.self = lister.Instance{Address: o.Front, Peer: o.Peer, Place: o.Zone, Zone: o.Zone, State: lister.Live}
 	i.instanceCount.Store(1)
+	i.loggedSharers = 1
 	i.incarnation = rand.Uint64() | 1
 	i.assessor = &assessor.Assessor{Resources: o.Resources}
 	i.facts = relayer.Facts{Cores: o.Resources.Cores, LinkRate: o.Resources.Link, Ease: 1}
--- a/internal/process/composer/peers.go
+++ b/internal/process/composer/peers.go
@@ -48,6 +48,18 @@
 		}
 	}
 	i.instanceCount.Store(int64(n))
+	i.logSharers(n)
+}
+
+// logSharers logs the number of instances that share the fleet's budgets if it has changed by
+// a quarter or more since it was last logged. relayer.Relayer orders the calls.
+func (i *Instance) logSharers(n int) {
+	before := i.loggedSharers
+	if 4*max(n-before, before-n) < before {
+		return
+	}
+	i.loggedSharers = n
+	_ = level.Info(i.options.Logger).Log("msg", "sharers changed", "sharers", n, "was", before)
 }
 
 // spreadRumor sends the other instances a rumor about a request that may crash targets:
--- a/internal/process/forwarder/counters.go
+++ b/internal/process/forwarder/counters.go
@@ -72,6 +72,15 @@
 	c.scope.Tagged(map[string]string{"service": service, "result": result}).Counter("permits").Inc(1)
 }
 
+// countRetry counts a retry or hedge that was asked of the budget.
+func (c *counters) countRetry(service string, granted bool) {
+	result := "withheld"
+	if granted {
+		result = "granted"
+	}
+	c.scope.Tagged(map[string]string{"service": service, "result": result}).Counter("retries").Inc(1)
+}
+
 // countCut counts a response that was cut off after its first part, by cause.
 func (c *counters) countCut(service, cause string) {
 	c.scope.Tagged(map[string]string{"service": service, "cause": cause}).Counter("responses_cut").Inc(1)
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -106,7 +106,9 @@
 	defer s.retryMutex.Unlock()
 	b := s.forwarder.budget.Load()
 	s.retries.Ratio, s.retries.Allowance = b.RetryRatio, b.RetryAllowance
-	return s.retries.Take(priority, now, s.forwarder.options.InstanceCount())
+	granted := s.retries.Take(priority, now, s.forwarder.options.InstanceCount())
+	s.forwarder.counters.countRetry(s.name, granted)
+	return granted
 }
 
 func (s *service) stats(now time.Time) Stats {
--- a/internal/process/journaler/lines.go
+++ b/internal/process/journaler/lines.go
@@ -44,6 +44,7 @@
 	{"store returned from a copy", "The platform's store has returned from a copy that may lack what was written last; its revisions begin anew after the copy's. before is the revision that this reader held.", []string{"era", "revision", "before"}},
 	{"reader changed", "The instance starts or stops reading from the platform for its zone.", []string{"reading"}},
 	{"member changed", "The instance's view of another instance of its zone has changed.", []string{"peer", "incarnation", "state", "before", "leaving", "cut", "new"}},
+	{"sharers changed", "The number of instances among which this one divides the budgets of the fleet has changed by a quarter or more.", []string{"sharers", "was"}},
 	{"rumor ignored", "A peer sent a rumor with a topic that is not used on a platform.", []string{"topic"}},
 
 	{"placed", "A target was chosen for an attempt of a request.", []string{"request", "service", "target", "address", "waited", "expected", "age", "busy", "late", "abroad", "attempt", "version"}},
@@ -103,6 +104,7 @@
 	{"status", "HTTP status; 0 without a response"},
 	{"took", "time from the arrival of the request, or from the start of the attempt, to the end"},
 	{"state, before", "state after the change and state before it; before is also the limit before the change, and the revision before the store returned from a copy"},
+	{"sharers, was", "number of instances after and before the change, this one included"},
 	{"limit", "requests per second that the target takes from all instances together; +Inf without a limit"},
 	{"left", "how long the target wants nothing more from this instance, or stays cold"},
 	{"field, value", "name and value of the header field"},
--- a/internal/process/meter/metrics.go
+++ b/internal/process/meter/metrics.go
@@ -32,6 +32,8 @@
 	{"body_bytes", nil, "Memory that the bodies of requests and responses hold. At half of the instance's memory, requests are refused."},
 	{"waiting", []string{"service"}, "Requests that are waiting for a target."},
 	{"retries_left", []string{"service"}, "Retries and hedges that the budget would grant now. At 0, a request is not retried after a failed attempt, unless nothing of that attempt was sent."},
+	{"retries", []string{"service", "result"}, "Retries and hedges that the budget `granted` or `withheld`."},
+	{"sharers", nil, "Instances among which this one divides the budgets of the fleet. If it is far below the number of instances for seconds after a start, this one reaches few others."},
 	{"probes", nil, "Probes that were sent to ask targets for their load."},
 	{"probes_withheld", nil, "Probes that were not sent because this instance's share of the probe budget was used up."},
 	{"probes_failed", nil, "Probes that got no answer, or one with a status other than 200."},
@@ -72,7 +74,7 @@
 // Print writes the reference page of the metrics.
 func Print(w io.Writer) error {
 	b := &strings.Builder{}
-	b.WriteString("# Metrics\n\nPrinted by `oriolecourse counters` from the table in the code. The page `/metrics` has\nthem in the Prometheus text format, each with `oriolecourse_` before its name, and the\nmetrics of the Go runtime.\n\n")
+	b.WriteString("# Metrics\n\nPrinted by `oriolecourse counters` from the table in the code. The page `/metrics` has\nthem in the Prometheus text format, each with `oriolecourse_` before its name, and\n`/metrics/runtime` those of the Go runtime.\n\n")
 	b.WriteString("| name | tags | meaning |\n| --- | --- | --- |\n")
 	for _, m := range Metrics {
 		b.WriteString("| `" + m.Name + "` | " + strings.Join(m.Tags, ", ") + " | " + m.Description + " |\n")
