--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -30,6 +30,7 @@
 	"oriolecourse.example/oriolecourse/internal/process/registrar"
 	"oriolecourse.example/oriolecourse/internal/process/relayer"
 	"oriolecourse.example/oriolecourse/internal/process/seeker"
+	"oriolecourse.example/oriolecourse/internal/process/sizer"
 	"oriolecourse.example/oriolecourse/internal/process/syncer"
 	"oriolecourse.example/oriolecourse/internal/version/lister"
 	"oriolecourse.example/oriolecourse/internal/version/router"
@@ -90,6 +91,8 @@
 	// TargetsFrom is the address from which targets are reached; the zero value means any.
 	TargetsFrom netip.Addr
 	Zone        string
+	// Zones is the number of availability zones of the fleet; 0 if unknown.
+	Zones int
 	// Seeds are the peer addresses to try first. They may be outdated.
 	Seeds   []netip.AddrPort
 	Keys    framer.Keys
@@ -165,9 +168,8 @@
 	// facts is what this instance tells, last changed at toldAt. Only maintain uses them.
 	facts  relayer.Facts
 	toldAt time.Time
-	// instanceCount is the number of instances that may be running, this one
-	// included.
-	instanceCount atomic.Int64
+	// sizer holds the number of instances that share the fleet's budgets.
+	sizer *sizer.Sizer
 	// loggedSharers is the number that logSharers has logged last; at first 1.
 	loggedSharers int
 }
@@ -176,7 +178,10 @@
 func New(o Options) *Instance {
 	i := &Instance{options: o, startTime: time.Now()}
 	i.self = lister.Instance{Address: o.Front, Peer: o.Peer, Place: o.Zone, Zone: o.Zone, State: lister.Live}
-	i.instanceCount.Store(1)
+	i.sizer = sizer.New(sizer.Options{
+		Zone: o.Zone, Zones: o.Zones,
+		Alone: !slices.ContainsFunc(o.Seeds, func(a netip.AddrPort) bool { return a != o.Peer }),
+	})
 	i.loggedSharers = 1
 	i.incarnation = rand.Uint64() | 1
 	i.assessor = &assessor.Assessor{Resources: o.Resources}
@@ -191,7 +196,7 @@
 	i.forwarder = forwarder.New(forwarder.Options{
 		Dialect: o.Dialect, Zone: o.Zone, LocalAddress: o.TargetsFrom, Budget: o.Budget,
 		Memory: reserver.New(share(aheadMemoryShare), i.memory),
-		Table:  i.tables.Current, InstanceCount: func() int { return int(i.instanceCount.Load()) },
+		Table:  i.tables.Current, FleetSize: i.fleetSize,
 		SpreadRumor: i.spreadRumor, OnTargetReplaced: i.targetReplaced,
 		OnTargetLeaving: i.targetLeaving, OnTargetWarmup: i.targetWarmup, CanSearch: i.canSearch, Search: i.search,
 		LimitOwner: i.limitOwner, AskPermit: i.askPermit, SpreadLimit: i.spreadLimit,
--- a/internal/process/composer/gauges.go
+++ b/internal/process/composer/gauges.go
@@ -22,7 +22,7 @@
 		ready = 1
 	}
 	set(s, "ready", ready)
-	set(s, "sharers", int(i.instanceCount.Load()))
+	set(s, "sharers", i.fleetSize(now).Instances)
 	set(s, "client_connections", i.acceptor.OpenConnections())
 	set(s, "client_requests", i.acceptor.PendingRequests())
 	s.Gauge("body_bytes").Update(float64(i.memory.Held()))
--- a/internal/process/composer/peers.go
+++ b/internal/process/composer/peers.go
@@ -11,6 +11,7 @@
 	"oriolecourse.example/oriolecourse/internal/process/limiter"
 	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
 	"oriolecourse.example/oriolecourse/internal/process/relayer"
+	"oriolecourse.example/oriolecourse/internal/process/sizer"
 	"oriolecourse.example/oriolecourse/internal/request/placer"
 )
 
@@ -36,19 +37,17 @@
 	return !c.IsZero() && now.Sub(c) < confirmationTTL
 }
 
-// membersChanged counts the instances that may be running. Failed members count
-// until they are forgotten, since they may still run behind a network partition and
-// use their shares of the fleet's budgets.
+// membersChanged updates what the membership tells.
 func (i *Instance) membersChanged(members []detector.Member, changes []detector.Change) {
+	now := time.Now()
 	i.forgetFacts(changes)
-	n := 1
-	for _, m := range members {
-		if m.State != detector.Ended {
-			n++
-		}
-	}
-	i.instanceCount.Store(int64(n))
-	i.logSharers(n)
+	i.sizer.Update(members, now)
+	i.logSharers(i.fleetSize(now).Instances)
+}
+
+// fleetSize returns the number of instances that share the fleet's budgets.
+func (i *Instance) fleetSize(now time.Time) sizer.Size {
+	return i.sizer.Size(i.registrar.Listed(), now)
 }
 
 // logSharers logs the number of instances that share the fleet's budgets if it has changed by
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -21,6 +21,7 @@
 	"oriolecourse.example/oriolecourse/internal/process/limiter"
 	"oriolecourse.example/oriolecourse/internal/process/quarantiner"
 	"oriolecourse.example/oriolecourse/internal/process/registrar"
+	"oriolecourse.example/oriolecourse/internal/process/sizer"
 	"oriolecourse.example/oriolecourse/internal/request/admitter"
 	"oriolecourse.example/oriolecourse/internal/request/placer"
 	"oriolecourse.example/oriolecourse/internal/version/router"
@@ -77,9 +78,9 @@
 	Memory *reserver.Reserver
 	// Table returns the routing table in force, or nil before the first one.
 	Table func() *router.Table
-	// InstanceCount returns the number of instances that may be running, this one
-	// included. They share the budgets and the connections to a target.
-	InstanceCount func() int
+	// FleetSize returns the number of instances that may be running, this one included. They
+	// share the budgets and the connections to a target.
+	FleetSize func(now time.Time) sizer.Size
 	// SpreadRumor sends the other instances a rumor about a request that may crash
 	// targets. The rumor says either that a target did not complete its response to
 	// the request, which makes the request a suspect, or that a suspect got a complete
--- a/internal/process/forwarder/forwarder_test.go
+++ b/internal/process/forwarder/forwarder_test.go
@@ -7,6 +7,8 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
+
+	"oriolecourse.example/oriolecourse/internal/process/sizer"
 )
 
 // TestRetryBudgetsArePerService guards against a budget that all services share. While
@@ -14,8 +16,8 @@
 // service would then raise the number of retries at the first.
 func TestRetryBudgetsArePerService(t *testing.T) {
 	f := New(Options{
-		Budget:        Budget{RetryRatio: 0.2, RetryAllowance: 60, RetryWindow: 10 * time.Second},
-		InstanceCount: func() int { return 1 }, Logger: log.NewNopLogger(), Scope: tally.NoopScope,
+		Budget:    Budget{RetryRatio: 0.2, RetryAllowance: 60, RetryWindow: 10 * time.Second},
+		FleetSize: fixedSize(1), Logger: log.NewNopLogger(), Scope: tally.NoopScope,
 	})
 	healthy, shedding := f.service("healthy"), f.service("shedding")
 	now, requests, attempts := time.Unix(1000, 0), 0, 0
@@ -44,3 +46,8 @@
 	shedding.countRequest(1, now)
 	require.False(t, shedding.takeRetry(1, now), "a retry was granted under an empty budget")
 }
+
+// fixedSize returns the size of a fleet that is known.
+func fixedSize(n int) func(time.Time) sizer.Size {
+	return func(time.Time) sizer.Size { return sizer.Size{Instances: n, Settled: true} }
+}
--- a/internal/process/forwarder/relay_test.go
+++ b/internal/process/forwarder/relay_test.go
@@ -44,7 +44,7 @@
 			Statement: func(*sender.Response) Statement { return Statement{Limit: limiter.Unlimited} }, TargetName: func(http.Header) string { return "" },
 		},
 		Budget: Budget{RetryWindow: time.Second, ProbeRate: 100}, Table: func() *router.Table { return table },
-		InstanceCount: func() int { return 2 }, CanRelay: func() bool { return true },
+		FleetSize: fixedSize(2), CanRelay: func() bool { return true },
 		OnCutOff:   func(cutOff bool, _ time.Time) { f.cutOff = cutOff },
 		LimitOwner: func(string, string) (limiter.Owner, bool) { return limiter.Owner{}, false },
 		Relay: func(_ context.Context, q *acceptor.Request, route *router.Route) (*acceptor.Response, RelayResult) {
--- a/internal/process/forwarder/revoke_test.go
+++ b/internal/process/forwarder/revoke_test.go
@@ -59,7 +59,7 @@
 			NotExecuted: func(*sender.Response) bool { return false },
 		},
 		Budget: Budget{RetryWindow: time.Second, ProbeRate: 100}, Table: func() *router.Table { return table },
-		InstanceCount: func() int { return 1 }, CanRelay: func() bool { return false }, OnCutOff: func(bool, time.Time) {},
+		FleetSize: fixedSize(1), CanRelay: func() bool { return false }, OnCutOff: func(bool, time.Time) {},
 		CanSearch:   func(string, time.Time) bool { return false },
 		SpreadLimit: func(string, string, float64, time.Time) {},
 		LimitOwner:  func(string, string) (limiter.Owner, bool) { return limiter.Owner{}, false },
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -85,7 +85,7 @@
 // caller of these holds s.mutex.
 func (s *service) allowProbes(n int, now time.Time) int {
 	rate := s.forwarder.budget.Load().ProbeRate * float64(s.targetCount)
-	granted := s.probes.Take(n, rate, s.forwarder.options.InstanceCount(), now)
+	granted := s.probes.Take(n, rate, s.forwarder.options.FleetSize(now).Instances, now)
 	if granted < n {
 		s.forwarder.counters.probesWithheld.Inc(int64(n - granted))
 	}
@@ -106,7 +106,7 @@
 	defer s.retryMutex.Unlock()
 	b := s.forwarder.budget.Load()
 	s.retries.Ratio, s.retries.Allowance = b.RetryRatio, b.RetryAllowance
-	granted := s.retries.Take(priority, now, s.forwarder.options.InstanceCount())
+	granted := s.retries.Take(priority, now, s.forwarder.options.FleetSize(now).Instances)
 	s.forwarder.counters.countRetry(s.name, granted)
 	return granted
 }
@@ -117,7 +117,7 @@
 	s.mutex.Unlock()
 	s.retryMutex.Lock()
 	defer s.retryMutex.Unlock()
-	return Stats{Service: s.name, Waiting: waiting, Retries: s.retries.Remaining(mostUrgent, now, s.forwarder.options.InstanceCount())}
+	return Stats{Service: s.name, Waiting: waiting, Retries: s.retries.Remaining(mostUrgent, now, s.forwarder.options.FleetSize(now).Instances)}
 }
 
 func (s *service) setTargets(usable []registrar.UsableRun, now time.Time) {
@@ -260,7 +260,7 @@
 	if properties == nil || properties.MaxConnections == 0 {
 		return minConnections
 	}
-	share := connectionShare * float64(properties.MaxConnections) / float64(s.forwarder.options.InstanceCount())
+	share := connectionShare * float64(properties.MaxConnections) / float64(s.forwarder.options.FleetSize(time.Now()).Instances)
 	return max(int(share), minConnections)
 }
 
--- a/internal/process/forwarder/warmups_test.go
+++ b/internal/process/forwarder/warmups_test.go
@@ -26,7 +26,7 @@
 	table := &router.Table{Version: 5, Services: []router.Service{{Name: "parts", HealthPath: "/healthz", WarmupRate: coldRate}}}
 	require.NoError(t, table.Prepare())
 	o.Budget = Budget{RetryWindow: time.Second, ProbeRate: 100, WarmupOvershoot: 1.5, WarmupSlack: 8}
-	o.Table, o.InstanceCount = func() *router.Table { return table }, func() int { return 2 }
+	o.Table, o.FleetSize = func() *router.Table { return table }, fixedSize(2)
 	o.Logger, o.Scope = log.NewNopLogger(), tally.NoopScope
 	f := New(o)
 	now := time.Now()
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -78,6 +79,9 @@
 	// Warmup returns the slow period of a service's targets. If it is nil, there is none.
 	Warmup func(service string) time.Duration
 
+	// listedRuns is the number of runs in the latest list.
+	listedRuns atomic.Int64
+
 	mutex   sync.Mutex
 	entries map[string]*entry
 	// emptied holds the emptied zones.
@@ -108,6 +112,7 @@
 	for i := range l.Runs {
 		r.applyRun(l.Runs[i], now)
 	}
+	r.listedRuns.Store(int64(len(l.Runs)))
 	for _, e := range r.entries {
 		if !e.listed {
 			r.applyOmission(e, r.mayBeIncomplete(l, now), now)
@@ -227,6 +232,9 @@
 	return all
 }
 
+// Listed returns the number of runs in the latest list.
+func (r *Registrar) Listed() int { return int(r.listedRuns.Load()) }
+
 // Count returns the number of runs in each state, by service.
 func (r *Registrar) Count() map[string][stateCount]int {
 	r.mutex.Lock()
