budgeter: a start does not spend again what the previous process has spent

Cause: each instance bounds its repeats by the requests of its last window and forgets at a restart what it has made. A calm window lets the fleet make ratio x its requests at once; when all are killed right after that, their successors earn as much again while the first ones still count. A tenth of the allowance for each start came on top.

Why it works: an instance spends at full rate once in any window, since it needs a whole window of life for it. In its first window it uses what the steady rate leaves of the ratio (0.1), and no allowance. A window counts from the start of the process now, not from the first request of the service.

--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -121,7 +121,9 @@
 // Forwarder sends client requests to targets. Its methods are safe for concurrent
 // use.
 type Forwarder struct {
-	options     Options
+	options Options
+	// started is when the process started.
+	started     time.Time
 	exchanger   *exchanger.Exchanger
 	quarantiner *quarantiner.Table
 	splitter    *router.Splitter
@@ -148,6 +150,7 @@
 func New(o Options) *Forwarder {
 	f := &Forwarder{
 		options:     o,
+		started:     time.Now(),
 		exchanger:   exchanger.New(),
 		quarantiner: quarantiner.New(quarantiner.DefaultLimits),
 		splitter:    router.NewSplitter(rand.IntN),
--- a/internal/process/forwarder/forwarder_test.go
+++ b/internal/process/forwarder/forwarder_test.go
@@ -19,10 +19,10 @@
 		Budget:    Budget{RetryRatio: 0.2, RetryAllowance: 60, RetryWindow: 10 * time.Second},
 		FleetSize: fixedSize(1), Logger: log.NewNopLogger(), Scope: tally.NoopScope,
 	})
-	healthy, shedding := f.service("healthy"), f.service("shedding")
 	now, requests, attempts := time.Unix(1000, 0), 0, 0
-	// The instance gets its full share of the allowance once a window has passed.
-	require.True(t, healthy.takeRetry(1, now) && shedding.takeRetry(1, now))
+	f.started = now
+	healthy, shedding := f.service("healthy"), f.service("shedding")
+	require.False(t, healthy.takeRetry(1, now), "the previous process may have used the share")
 	now = now.Add(20 * time.Second)
 	for range 8000 {
 		now = now.Add(time.Millisecond)
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -71,7 +71,7 @@
 
 func newService(f *Forwarder, name string) *service {
 	s := &service{forwarder: f, name: name, waiting: map[*placer.Ticket]chan decision{}, surveyor: surveyor.New()}
-	s.retries.Window, s.retries.Rounding = f.budget.Load().RetryWindow, rand.Float64()
+	s.retries.Window, s.retries.Rounding, s.retries.Started = f.budget.Load().RetryWindow, rand.Float64(), f.started
 	s.placer = placer.New(f.options.Zone, rand.Float64, s.allowProbes)
 	s.placer.CanSearch = f.options.CanSearch
 	s.placer.Admitter = f.admitter
--- a/internal/request/budgeter/retries.go
+++ b/internal/request/budgeter/retries.go
@@ -10,14 +10,13 @@
 	// have left the window.
 	ratioSafetyFactor = 0.9
 	// allowanceSafetyFactor is the fraction of the allowance that is used. The rest
-	// covers instances that this instance does not know and instances that have just
-	// started.
+	// covers instances that this instance does not know.
 	allowanceSafetyFactor = 0.5
-	// startSafetyFactor replaces allowanceSafetyFactor in the first window after a
-	// start, because the previous process of the instance can have used its share.
-	// With it, the previous process's share and five starts within a window stay
-	// within the allowance.
-	startSafetyFactor = 0.1
+	// startRatioFactor replaces ratioSafetyFactor in the first window after a start, in which
+	// there is no allowance either. The previous process of the instance can have used all that
+	// a window of requests had earned right before it ended. Together they stay within the
+	// ratio, however often the instance starts within a window.
+	startRatioFactor = 1 - ratioSafetyFactor
 	// urgentShare is the fraction of the attempts that is kept for the more urgent
 	// requests while there are some.
 	urgentShare = 0.5
@@ -25,7 +24,8 @@
 
 // Retries grants attempts beyond the first for the requests of one service. In any
 // window it grants at most Ratio times the window's requests plus this instance's
-// share of the fleet's allowance. While requests of several priorities arrive, it keeps
+// share of the fleet's allowance; in the first window after a start a small part of that,
+// because nothing is known of the attempts of the previous process. While requests of several priorities arrive, it keeps
 // urgentShare of these attempts for the more urgent ones: when all targets reject a part
 // of their requests, the budget does not last for all.
 type Retries struct {
@@ -42,6 +42,10 @@
 	// the fractions add up over the fleet.
 	Rounding float64
 
+	// Started is when the process started. If it is zero, the first call counts as the start.
+	Started time.Time
+
+	// start is Started or the time of the first call; zero before that.
 	start time.Time
 	// usage holds the requests and attempts of each priority.
 	usage map[int]*usage
@@ -92,21 +96,23 @@
 			urgentRequests, urgentUsed = urgentRequests+q, urgentUsed+a
 		}
 	}
-	factor := allowanceSafetyFactor
-	if now.Sub(r.start) < r.Window {
-		factor = startSafetyFactor
+	limit := startRatioFactor * r.Ratio * requests
+	if now.Sub(r.start) >= r.Window {
+		limit = ratioSafetyFactor*r.Ratio*requests + allowanceSafetyFactor*r.Allowance/float64(max(fleet, 1))
 	}
-	limit := ratioSafetyFactor*r.Ratio*requests + factor*r.Allowance/float64(max(fleet, 1))
 	if urgentRequests > 0 {
 		limit -= max(urgentShare*limit-urgentUsed, 0)
 	}
 	return max(int(limit-used+r.Rounding), 0)
 }
 
-// bucket returns the number of the bucket of a time, counted from the first call.
+// bucket returns the number of the bucket of a time, counted from the start.
 func (r *Retries) bucket(now time.Time) int64 {
 	if r.start.IsZero() {
 		r.start = now
+		if !r.Started.IsZero() {
+			r.start = r.Started
+		}
 	}
 	return int64(now.Sub(r.start) / (r.Window / windowBuckets))
 }
