sizer: an instance that has met nobody does not take itself for the fleet

What callers saw: after a start of all instances while the seeds were away, targets got up to half more repeats than the budget of the fleet allows, and more probes, connections and permits than its shares.

Cause: what the fleet shares was divided by the number of known instances, 1 at each start. It stayed 1 until a seed was back, grew over seconds after that, and an instance whose first window was over took half of the allowance of the fleet for itself. A part of the fleet that had started while it was cut off took itself for the whole.

Change: sizer expects an instance for each listed target until 5 s after the first other one was met, and as many instances in zones without a known one as in the others. Until then the allowance of the retry budget is not used; retries that an instance's own requests earn need no share. Probes that are saved up are kept as time, so that they follow the share; the owner of a limited or cold target grants its part of the expected fleet. Connections follow by themselves.

--- a/internal/process/composer/limits.go
+++ b/internal/process/composer/limits.go
@@ -12,7 +12,10 @@
 // limitOwner returns the owner of a run of a target in a zone and whether it is this
 // instance.
 func (i *Instance) limitOwner(key, zone string) (limiter.Owner, bool) {
-	o := i.limitOwners.Choose(key, zone, i.relayer.Self(), i.relayer.Members())
+	members := i.relayer.Members()
+	o := i.limitOwners.Choose(key, zone, i.relayer.Self(), members)
+	// The share is of the instances that are known; others may grant theirs meanwhile.
+	o.Share *= min(1, float64(1+len(members))/float64(i.fleetSize(time.Now()).Instances))
 	return o, o.Peer == i.self.Peer
 }
 
--- a/internal/process/composer/peers.go
+++ b/internal/process/composer/peers.go
@@ -42,7 +42,7 @@
 	now := time.Now()
 	i.forgetFacts(changes)
 	i.sizer.Update(members, now)
-	i.logSharers(i.fleetSize(now).Instances)
+	i.logSharers(i.sizer.Known())
 }
 
 // fleetSize returns the number of instances that share the fleet's budgets.
@@ -50,8 +50,8 @@
 	return i.sizer.Size(i.registrar.Listed(), now)
 }
 
-// logSharers logs the number of instances that share the fleet's budgets if it has changed by
-// a quarter or more since it was last logged. relayer.Relayer orders the calls.
+// logSharers logs the number of known instances, which share the fleet's budgets, if it has
+// changed by a quarter or more since it was last logged. relayer.Relayer orders the calls.
 func (i *Instance) logSharers(n int) {
 	before := i.loggedSharers
 	if 4*max(n-before, before-n) < before {
--- a/internal/process/forwarder/forwarder_test.go
+++ b/internal/process/forwarder/forwarder_test.go
@@ -51,3 +51,21 @@
 func fixedSize(n int) func(time.Time) sizer.Size {
 	return func(time.Time) sizer.Size { return sizer.Size{Instances: n, Settled: true} }
 }
+
+// Guards against an instance that has met nobody and takes the whole allowance, and against one
+// that then makes no retries at all.
+func TestInstanceThatHasMetNobodyRetriesOnlyWhatItsRequestsEarn(t *testing.T) {
+	f := New(Options{
+		Budget:    Budget{RetryRatio: 0.2, RetryAllowance: 60, RetryWindow: 10 * time.Second},
+		FleetSize: func(time.Time) sizer.Size { return sizer.Size{Instances: 30} }, Logger: log.NewNopLogger(), Scope: tally.NoopScope,
+	})
+	now, granted := f.started.Add(time.Minute), 0
+	s := f.service("parts")
+	for range 100 {
+		s.countRequest(1, now)
+	}
+	for s.takeRetry(1, now) {
+		granted++
+	}
+	require.InDelta(t, 18, granted, 1)
+}
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -105,8 +105,13 @@
 	s.retryMutex.Lock()
 	defer s.retryMutex.Unlock()
 	b := s.forwarder.budget.Load()
+	size := s.forwarder.options.FleetSize(now)
 	s.retries.Ratio, s.retries.Allowance = b.RetryRatio, b.RetryAllowance
-	granted := s.retries.Take(priority, now, s.forwarder.options.FleetSize(now).Instances)
+	if !size.Settled {
+		// The share of an unknown fleet is unknown. What requests earn needs no share.
+		s.retries.Allowance = 0
+	}
+	granted := s.retries.Take(priority, now, size.Instances)
 	s.forwarder.counters.countRetry(s.name, granted)
 	return granted
 }
--- a/internal/process/journaler/lines.go
+++ b/internal/process/journaler/lines.go
@@ -44,7 +44,7 @@
 	{"store returned from a copy", "The platform's store has returned from a copy that may lack what was written last; its revisions begin anew after the copy's. before is the revision that this reader held.", []string{"era", "revision", "before"}},
 	{"reader changed", "The instance starts or stops reading from the platform for its zone.", []string{"reading"}},
 	{"member changed", "The instance's view of another instance of its zone has changed.", []string{"peer", "incarnation", "state", "before", "leaving", "cut", "new"}},
-	{"sharers changed", "The number of instances among which this one divides the budgets of the fleet has changed by a quarter or more.", []string{"sharers", "was"}},
+	{"sharers changed", "The number of known instances, among which this one divides the budgets of the fleet, has changed by a quarter or more.", []string{"sharers", "was"}},
 	{"rumor ignored", "A peer sent a rumor with a topic that is not used on a platform.", []string{"topic"}},
 
 	{"placed", "A target was chosen for an attempt of a request.", []string{"request", "service", "target", "address", "waited", "expected", "age", "busy", "late", "abroad", "attempt", "version"}},
--- a/internal/process/sizer/sizer.go
+++ b/internal/process/sizer/sizer.go
@@ -7,10 +7,15 @@
 	"oriolecourse.example/oriolecourse/internal/process/detector"
 )
 
+// settleTime is how long after it has met the first other instance an instance has met all of
+// them. When a whole fleet starts, each instance hears of the others by and by.
+const settleTime = 5 * time.Second
+
 // Options describes what an instance knows of the fleet before it has met another one.
 type Options struct {
-	// Zone is the availability zone of the instance, Zones the number of zones of the fleet.
-	Zone  string
+	// Zone is the availability zone of the instance.
+	Zone string
+	// Zones is the number of zones of the fleet; 0 if unknown.
 	Zones int
 	// Alone means that the settings name no other instance.
 	Alone bool
@@ -20,7 +25,8 @@
 type Size struct {
 	// Instances is at least 1 and includes this instance.
 	Instances int
-	// Settled means that Instances counts instances that are known, rather than expected.
+	// Settled means that Instances counts instances that are known. Otherwise it is a guess,
+	// and most of the fleet may be unknown.
 	Settled bool
 }
 
@@ -28,29 +34,61 @@
 // use.
 type Sizer struct {
 	options Options
-	known   atomic.Int64
+	view    atomic.Pointer[view]
+}
+
+// view is what an instance knows of the fleet.
+type view struct {
+	// known is the number of instances that may be running, this one included.
+	known int
+	// zones is the number of zones in which they are.
+	zones int
+	// met is when the first other instance was met; zero before that.
+	met time.Time
 }
 
 // New returns a sizer that knows this instance only.
 func New(o Options) *Sizer {
 	s := &Sizer{options: o}
-	s.known.Store(1)
+	s.view.Store(&view{known: 1, zones: 1})
 	return s
 }
 
 // Update sets the other members of the fleet. Failed members count until they are forgotten,
-// since they may still run behind a network partition and use their shares.
-func (s *Sizer) Update(members []detector.Member, _ time.Time) {
-	n := int64(1)
+// since they may still run behind a network partition and use their shares. The calls must
+// not overlap.
+func (s *Sizer) Update(members []detector.Member, now time.Time) {
+	next := view{known: 1, met: s.view.Load().met}
+	zones := map[string]bool{s.options.Zone: true}
 	for _, m := range members {
 		if m.State != detector.Ended {
-			n++
+			next.known++
+			zones[m.Instance.Zone] = true
 		}
 	}
-	s.known.Store(n)
+	next.zones = len(zones)
+	if next.known > 1 && next.met.IsZero() {
+		next.met = now
+	}
+	s.view.Store(&next)
 }
 
-// Size returns the size of the fleet. Targets is the number of targets of all services.
-func (s *Sizer) Size(_ int, _ time.Time) Size {
-	return Size{Instances: int(s.known.Load()), Settled: true}
+// Size returns the size of the fleet. Targets is the number of targets of all services: until
+// an instance has met the others, it expects one for each target. An instance that has
+// met nobody in some zones expects as many there as in the others, since the fleet may have been
+// cut into zones when it started.
+func (s *Sizer) Size(targets int, now time.Time) Size {
+	v := s.view.Load()
+	settled := v.met.IsZero() && s.options.Alone || !v.met.IsZero() && now.Sub(v.met) >= settleTime
+	n := v.known
+	if s.options.Zones > v.zones {
+		n = (n*s.options.Zones + v.zones - 1) / v.zones
+	}
+	if !settled {
+		n = max(n, targets)
+	}
+	return Size{Instances: n, Settled: settled}
 }
+
+// Known returns the number of instances that are known, this one included.
+func (s *Sizer) Known() int { return s.view.Load().known }
--- a/internal/request/budgeter/budgeter_test.go
+++ b/internal/request/budgeter/budgeter_test.go
@@ -210,3 +210,14 @@
 	}
 	require.InEpsilon(t, allowanceSafetyFactor*630, granted, 0.1)
 }
+
+// Guards against a start that counts itself alone at first and keeps the probes that it took
+// for its share then.
+func TestProbesOfAStartFollowTheKnownFleet(t *testing.T) {
+	const rate, fleet = 600.0, 100
+	p := &Probes{}
+	now := time.Unix(5, 0)
+	require.Equal(t, 1, p.Take(1, rate, 1, now))
+	now = now.Add(time.Second)
+	require.LessOrEqual(t, p.Take(1000, rate, fleet, now), int(probeSafetyFactor*rate/fleet*(probeStartPeriod+time.Second).Seconds()))
+}
--- a/internal/request/budgeter/probes.go
+++ b/internal/request/budgeter/probes.go
@@ -16,8 +16,10 @@
 
 // Probes grants probes at an instance's share of the fleet's rate.
 type Probes struct {
-	// tokens is the number of probes saved up at refilled.
-	tokens   float64
+	// saved is the period whose probes were saved up at refilled. It is kept as a time, so
+	// that what a start has saved up shrinks and grows with the share, as more of the fleet
+	// becomes known.
+	saved    time.Duration
 	refilled time.Time
 }
 
@@ -25,15 +27,16 @@
 // of probes per second that the whole fleet may send to all targets together;
 // fleet is the number of instances that share the rate.
 func (p *Probes) Take(n int, rate float64, fleet int, now time.Time) int {
-	share := probeSafetyFactor * rate / float64(max(fleet, 1))
-	limit := share * probeBurstPeriod.Seconds()
 	if p.refilled.IsZero() {
-		p.tokens = share * probeStartPeriod.Seconds()
+		p.saved = probeStartPeriod
 	} else {
-		p.tokens = min(limit, p.tokens+share*now.Sub(p.refilled).Seconds())
+		p.saved = min(probeBurstPeriod, p.saved+now.Sub(p.refilled))
 	}
 	p.refilled = now
-	granted := min(n, int(p.tokens))
-	p.tokens -= float64(granted)
+	share := probeSafetyFactor * rate / float64(max(fleet, 1))
+	granted := min(n, int(share*p.saved.Seconds()))
+	if granted > 0 {
+		p.saved -= time.Duration(float64(granted) / share * float64(time.Second))
+	}
 	return granted
 }
