detector: an instance that knows nobody tries its seeds at a steady pace

Cause: the delay between two tries of a seed doubles up to a minute.

Change: without any alive or suspect member, every 0.5 s. TestInstancesMeetSoonAfterTheirSeedsAreBack failed before at the first instance.

--- a/internal/process/detector/candidate.go
+++ b/internal/process/detector/candidate.go
@@ -14,6 +14,10 @@
 	// to a candidate.
 	minRetryDelay = time.Second
 	maxRetryDelay = time.Minute
+	// isolatedRetryDelay is the delay for an instance that has no alive or suspect member.
+	// It does not grow: until such an instance meets another one, it knows neither its
+	// shares of what the fleet may use nor what the others know.
+	isolatedRetryDelay = 500 * time.Millisecond
 )
 
 // candidate is the retry state of an address at which an instance may run.
@@ -54,8 +58,8 @@
 		}
 	}
 	slices.SortFunc(due, netip.AddrPort.Compare)
-	n := 1
-	if len(d.table()) == 0 {
+	n, isolated := 1, len(d.table()) == 0
+	if isolated {
 		n = candidatesWhenIsolated
 	}
 	for i := range min(n, len(due)) {
@@ -63,6 +67,9 @@
 		due[i], due[j] = due[j], due[i]
 		c := d.candidates[due[i]]
 		c.delay = min(max(2*c.delay, minRetryDelay), maxRetryDelay)
+		if isolated {
+			c.delay = isolatedRetryDelay
+		}
 		c.nextTry = now.Add(c.delay)
 	}
 	return due[:min(n, len(due))]
--- a/internal/process/detector/detector_test.go
+++ b/internal/process/detector/detector_test.go
@@ -364,3 +364,24 @@
 	}
 	require.LessOrEqual(t, named, survivors*(instances-survivors)/10)
 }
+
+// Replays a start of all while the seeds are away for a while. Guards against instances that
+// try the seeds ever less often, and so meet nobody for as long again once the seeds are back.
+func TestInstancesMeetSoonAfterTheirSeedsAreBack(t *testing.T) {
+	const seeds, instances = 3, 20
+	f := newFleet(1)
+	for i := range instances {
+		f.start(i)
+	}
+	for i := range seeds {
+		f.kill(i)
+	}
+	f.advance(20 * time.Second)
+	for i := range seeds {
+		f.start(i)
+	}
+	f.advance(2 * time.Second)
+	for i := range instances {
+		require.NotEmpty(t, f.at(i).Members(), "instance %d", i)
+	}
+}
