forwarder: a request that is relayed raises the retry budget once

Cause: an instance that finds out while it serves a request that it reaches no target has counted the request already, and so has each instance that then refuses it, before the one that serves it.

Change: a request that is unreached is taken back where it is not served. TestRequestThatIsRelayedCountsOnce failed before, at the first of both instances. Its fixture has four targets now, as many as a request tries, and reports the failure of each.

--- a/internal/process/forwarder/relay_test.go
+++ b/internal/process/forwarder/relay_test.go
@@ -54,11 +54,17 @@
 		},
 		Logger: log.NewNopLogger(), Scope: tally.NoopScope,
 	})
-	run := registrar.UsableRun{Run: registrar.Run{Name: "i", Service: "parts", Slots: 1, Address: netip.MustParseAddrPort("127.0.0.1:1")}}
-	f.SetTargets(map[string][]registrar.UsableRun{"parts": {run}}, time.Now())
+	var runs []registrar.UsableRun
+	for port := range uint16(maxTargets) {
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port+1)
+		runs = append(runs, registrar.UsableRun{Run: registrar.Run{Name: address.String(), Service: "parts", Slots: 1, Address: address}})
+	}
+	f.SetTargets(map[string][]registrar.UsableRun{"parts": runs}, time.Now())
 	f.CheckLinks(time.Now())
 	require.False(t, f.CutOff(), "nothing has failed")
-	f.recordContact(run.Address, context.DeadlineExceeded)
+	for _, r := range runs {
+		f.recordContact(r.Address, context.DeadlineExceeded)
+	}
 	require.Eventually(t, f.CutOff, 5*time.Second, time.Millisecond)
 	return f
 }
@@ -119,3 +125,24 @@
 	require.Equal(t, http.StatusBadGateway, response.Status)
 	require.Equal(t, unknown, o)
 }
+
+// Guards against a request that raises the retry budget at each instance that it passes: at
+// one that finds out while it serves the request that it reaches no target, and at the one
+// that then serves it.
+func TestRequestThatIsRelayedCountsOnce(t *testing.T) {
+	f := newCutFixture(t)
+	f.SetBudget(Budget{RetryRatio: 100, RetryWindow: time.Second, ProbeRate: 100})
+	s := f.service("parts")
+	for _, serve := range []func() *acceptor.Response{
+		func() *acceptor.Response { return f.Serve(t.Context(), order(time.Now())) },
+		func() *acceptor.Response {
+			return f.ServeRelayed(t.Context(), order(time.Now()), f.options.Table().Match("h", "/order/1"))
+		},
+	} {
+		s.recordAnswer(time.Now())
+		require.False(t, f.CutOff())
+		require.Contains(t, []int{http.StatusOK, http.StatusMisdirectedRequest}, serve().Status)
+		require.False(t, s.takeRetry(0, time.Now()))
+	}
+	require.Len(t, f.relayed, 1)
+}
--- a/internal/process/forwarder/request.go
+++ b/internal/process/forwarder/request.go
@@ -124,7 +124,10 @@
 	response, o := (*acceptor.Response)(nil), unreached
 	if !r.service.relays() {
 		r.service.countRequest(route.Priority, now)
-		response, o = r.admit(ctx)
+		if response, o = r.admit(ctx); o == unreached {
+			// It counts where it is served.
+			r.service.forgetRequest(route.Priority, time.Now())
+		}
 	}
 	switch {
 	case o == unreached && isRelayed:
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -99,6 +99,13 @@
 	s.retries.RecordRequest(priority, now)
 }
 
+// forgetRequest takes back countRequest.
+func (s *service) forgetRequest(priority int, now time.Time) {
+	s.retryMutex.Lock()
+	defer s.retryMutex.Unlock()
+	s.retries.ForgetRequest(priority, now)
+}
+
 // takeRetry takes one retry for a request of a priority from the service's budget and
 // reports whether there was one.
 func (s *service) takeRetry(priority int, now time.Time) bool {
--- a/internal/request/budgeter/retries.go
+++ b/internal/request/budgeter/retries.go
@@ -71,6 +71,11 @@
 	r.usageOf(priority).requests.add(r.bucket(now), 1)
 }
 
+// ForgetRequest takes back the count of one client request that another instance serves.
+func (r *Retries) ForgetRequest(priority int, now time.Time) {
+	r.usageOf(priority).requests.add(r.bucket(now), -1)
+}
+
 // Take takes one additional attempt for a request of a priority from the budget and
 // reports whether there was one. fleet is the number of instances that share the
 // allowance.
