forwarder: each message asks right before it is sent whether its target takes it

What targets saw: after one had turned a request of an instance away and asked it for rest, an earlier request of that instance that took long there caused up to four probes a second.

Cause: the question whether a target takes a message was asked where the placer chooses a target. A probe about an overdue request chooses none, and a check of the links sends some time after the choice. The same holds for limited targets, which count probes.

Change: probe and contact ask themselves, so that no caller can forget it; probes_refused counts. Looked for elsewhere: requests, retries and hedges ask with their permit; offers to other zones and rechecks of limits go through the placer's choice.

--- a/internal/process/forwarder/counters.go
+++ b/internal/process/forwarder/counters.go
@@ -18,6 +18,7 @@
 	probes         tally.Counter
 	probesWithheld tally.Counter
 	probesFailed   tally.Counter
+	probesRefused  tally.Counter
 	searches       tally.Counter
 	targetsOffered tally.Counter
 	streamed       tally.Counter
@@ -33,6 +34,7 @@
 		probes:         s.Counter("probes"),
 		probesWithheld: s.Counter("probes_withheld"),
 		probesFailed:   s.Counter("probes_failed"),
+		probesRefused:  s.Counter("probes_refused"),
 		searches:       s.Counter("searches_abroad"),
 		targetsOffered: s.Counter("targets_lent"),
 		streamed:       s.Counter("responses_streamed"),
--- a/internal/process/forwarder/links.go
+++ b/internal/process/forwarder/links.go
@@ -165,8 +165,12 @@
 	return name == "" || name == t.Name
 }
 
-// contact reports whether a target responds on a new connection.
+// contact reports whether a target responds on a new connection. One that wants no message now
+// has responded just before.
 func (s *service) contact(t placer.Target) bool {
+	if !s.admits(t, admitter.Check, time.Now()) {
+		return true
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
 	q := s.probeRequest(t)
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -15,6 +15,7 @@
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
 	"oriolecourse.example/oriolecourse/internal/process/registrar"
 	"oriolecourse.example/oriolecourse/internal/process/surveyor"
+	"oriolecourse.example/oriolecourse/internal/request/admitter"
 	"oriolecourse.example/oriolecourse/internal/request/budgeter"
 	"oriolecourse.example/oriolecourse/internal/request/placer"
 )
@@ -289,9 +290,24 @@
 	}
 }
 
-// probe requests a target's health path and passes the result to the placer.
+// admits reports whether a target takes a message of this instance now. Each message that is
+// not a request of a caller asks it right before it is sent, wherever its target was chosen;
+// requests ask for a permit.
+func (s *service) admits(t placer.Target, u admitter.Use, now time.Time) bool {
+	if s.forwarder.admitter.Run(t.ID).Admit(u, now).Admitted {
+		return true
+	}
+	s.forwarder.counters.probesRefused.Inc(1)
+	return false
+}
+
+// probe requests a target's health path and passes the result to the placer. It sends nothing
+// to a target that is not to be probed now.
 func (s *service) probe(t placer.Target, asked time.Time) {
 	f := s.forwarder
+	if !s.admits(t, admitter.Probe, time.Now()) {
+		return
+	}
 	f.counters.probes.Inc(1)
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
--- a/internal/process/meter/metrics.go
+++ b/internal/process/meter/metrics.go
@@ -37,6 +37,7 @@
 	{"probes", nil, "Probes that were sent to ask targets for their load."},
 	{"probes_withheld", nil, "Probes that were not sent because this instance's share of the probe budget was used up."},
 	{"probes_failed", nil, "Probes that got no answer, or one with a status other than 200."},
+	{"probes_refused", nil, "Probes and checks of the links that were not sent because their target takes none from this instance now: it is paused, or names a limit."},
 	{"limited_answers", []string{"service", "purpose"}, "Responses of targets that name a limit on the requests that they take, by the purpose of the message that they answer, `request` or `probe`. The target counts both."},
 	{"permits", []string{"service", "result"}, "Requests for a permit to send to a target that names a limit or is cold. `withheld`: its rate allows no further message at that moment, and the request goes elsewhere or waits."},
 	{"statements", []string{"service", "kind"}, "Responses in which a target says something of itself, by kind. `leaving`: it takes no new requests. `pause`: it wants nothing from this instance for some time. `cold`: it stays cold for another time than was known. `misread`: a value that cannot be read. Limits are in `limited_answers`."},
