budgeter: a start gets a part of the allowance by and by

What the steady share leaves of the allowance is enough for starts if it does not come at once: 0.3 of the share, in proportion to the age of the process. The ages of successive processes of an instance in a window add up to no more than the window, so starts in series get no more than one process.

--- a/internal/request/budgeter/retries.go
+++ b/internal/request/budgeter/retries.go
@@ -12,11 +12,15 @@
 	// allowanceSafetyFactor is the fraction of the allowance that is used. The rest
 	// covers instances that this instance does not know.
 	allowanceSafetyFactor = 0.5
-	// startRatioFactor replaces ratioSafetyFactor in the first window after a start, in which
-	// there is no allowance either. The previous process of the instance can have used all that
-	// a window of requests had earned right before it ended. Together they stay within the
-	// ratio, however often the instance starts within a window.
+	// startRatioFactor replaces ratioSafetyFactor in the first window after a start. The
+	// previous process of the instance can have used all that a window of requests had earned
+	// right before it ended. Together they stay within the ratio, however often the instance
+	// starts within a window.
 	startRatioFactor = 1 - ratioSafetyFactor
+	// startAllowanceFactor replaces allowanceSafetyFactor in the first window after a start. That
+	// part of the allowance comes by and by, so that starts in series get no more of it than
+	// one process, and is within what allowanceSafetyFactor leaves to others.
+	startAllowanceFactor = 0.3
 	// urgentShare is the fraction of the attempts that is kept for the more urgent
 	// requests while there are some.
 	urgentShare = 0.5
@@ -101,10 +105,11 @@
 			urgentRequests, urgentUsed = urgentRequests+q, urgentUsed+a
 		}
 	}
-	limit := startRatioFactor * r.Ratio * requests
-	if now.Sub(r.start) >= r.Window {
-		limit = ratioSafetyFactor*r.Ratio*requests + allowanceSafetyFactor*r.Allowance/float64(max(fleet, 1))
+	ratioFactor, allowanceFactor := ratioSafetyFactor, allowanceSafetyFactor
+	if age := now.Sub(r.start); age < r.Window {
+		ratioFactor, allowanceFactor = startRatioFactor, startAllowanceFactor*age.Seconds()/r.Window.Seconds()
 	}
+	limit := ratioFactor*r.Ratio*requests + allowanceFactor*r.Allowance/float64(max(fleet, 1))
 	if urgentRequests > 0 {
 		limit -= max(urgentShare*limit-urgentUsed, 0)
 	}
--- a/internal/request/budgeter/starts_test.go
+++ b/internal/request/budgeter/starts_test.go
@@ -101,3 +101,16 @@
 		}
 	}
 }
+
+// Guards against starts without any retries for a whole window, in which a request that one
+// target sheds is rejected at once.
+func TestStartGetsItsAllowanceByAndBy(t *testing.T) {
+	r := &Retries{Ratio: ratio, Allowance: allowance, Window: window}
+	now := time.Unix(5, 0)
+	for _, c := range []struct {
+		age  time.Duration
+		want float64
+	}{{0, 0}, {window / 2, 0.5 * startAllowanceFactor * allowance}, {window, allowanceSafetyFactor * allowance}} {
+		require.EqualValues(t, c.want, r.Remaining(1, now.Add(c.age), 1), c.age)
+	}
+}
