--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -14,13 +14,19 @@
 // reportInterval is the time between two updates of the scraped page.
 const reportInterval = time.Second
 
+// The paths of Meter.Handler.
+const (
+	Path        = "/metrics"
+	RuntimePath = "/metrics/runtime"
+)
+
 // Meter holds the metrics of a process.
 type Meter struct {
 	// Scope is the root scope of all metrics.
 	Scope tally.Scope
-	// Handler serves the metrics in the Prometheus text format, and RuntimeHandler those of
-	// the Go runtime. They are apart because some readers keep only the start of a page.
-	Handler, RuntimeHandler http.Handler
+	// Handler serves the metrics in the Prometheus text format at Path, and those of the Go
+	// runtime at RuntimePath. They are apart because some readers keep only the start of a page.
+	Handler http.Handler
 
 	closer io.Closer
 }
@@ -39,10 +45,10 @@
 		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &Meter{
-		Scope: scope, Handler: reporter.HTTPHandler(),
-		RuntimeHandler: promhttp.HandlerFor(runtime, promhttp.HandlerOpts{}), closer: closer,
-	}
+	pages := http.NewServeMux()
+	pages.Handle(Path, reporter.HTTPHandler())
+	pages.Handle(RuntimePath, promhttp.HandlerFor(runtime, promhttp.HandlerOpts{}))
+	return &Meter{Scope: scope, Handler: pages, closer: closer}
 }
 
 // Close reports the metrics for the last time.
--- a/internal/process/server/admin.go
+++ b/internal/process/server/admin.go
@@ -8,6 +8,7 @@
 	"github.com/labstack/echo/v4"
 
 	"oriolecourse.example/oriolecourse/internal/process/accountant"
+	"oriolecourse.example/oriolecourse/internal/process/meter"
 )
 
 // Peer is a member of the fleet in the view of an instance.
@@ -27,7 +28,7 @@
 type Admin struct {
 	// Ready reports whether the instance accepts requests of callers.
 	Ready func() bool
-	// MetricsHandler serves the metrics.
+	// MetricsHandler serves the metrics at the paths of meter.Meter.Handler.
 	MetricsHandler http.Handler
 	// Cost returns the costs up to now.
 	Cost func(now time.Time) accountant.Report
@@ -44,7 +45,8 @@
 func (a *Admin) Router() http.Handler {
 	e := echo.New()
 	e.GET("/healthz", a.health)
-	e.GET("/metrics", echo.WrapHandler(a.MetricsHandler))
+	e.GET(meter.Path, echo.WrapHandler(a.MetricsHandler))
+	e.GET(meter.RuntimePath, echo.WrapHandler(a.MetricsHandler))
 	e.GET("/v1/cost", func(c echo.Context) error { return c.JSON(http.StatusOK, a.Cost(time.Now())) })
 	e.GET("/v1/explain", func(c echo.Context) error { return c.JSON(http.StatusOK, a.Explain(time.Now())) })
 	e.GET("/v1/peers", func(c echo.Context) error { return c.JSON(http.StatusOK, a.Peers()) })
