--- a/internal/process/sizer/sizer.go
+++ b/internal/process/sizer/sizer.go
@@ -79,7 +79,10 @@
 // cut into zones when it started.
 func (s *Sizer) Size(targets int, now time.Time) Size {
 	v := s.view.Load()
-	settled := v.met.IsZero() && s.options.Alone || !v.met.IsZero() && now.Sub(v.met) >= settleTime
+	if v.met.IsZero() && s.options.Alone {
+		return Size{Instances: 1, Settled: true}
+	}
+	settled := !v.met.IsZero() && now.Sub(v.met) >= settleTime
 	n := v.known
 	if s.options.Zones > v.zones {
 		n = (n*s.options.Zones + v.zones - 1) / v.zones
--- a/internal/process/sizer/sizer_test.go
+++ b/internal/process/sizer/sizer_test.go
@@ -88,6 +88,6 @@
 	s.Update(members(107, func(o int) bool { return o != 0 }), started.Add(time.Minute))
 	require.Equal(t, Size{Instances: 107, Settled: true}, s.Size(189, started.Add(time.Minute)))
 
-	alone := New(Options{Zone: "a", Zones: 1, Alone: true})
+	alone := New(Options{Zone: "a", Zones: zones, Alone: true})
 	require.Equal(t, Size{Instances: 1, Settled: true}, alone.Size(189, started))
 }
--- a/internal/request/budgeter/retries.go
+++ b/internal/request/budgeter/retries.go
@@ -29,7 +29,8 @@
 // Retries grants attempts beyond the first for the requests of one service. In any
 // window it grants at most Ratio times the window's requests plus this instance's
 // share of the fleet's allowance; in the first window after a start a small part of that,
-// because nothing is known of the attempts of the previous process. While requests of several priorities arrive, it keeps
+// because nothing is known of the attempts of the previous process. While requests of
+// several priorities arrive, it keeps
 // urgentShare of these attempts for the more urgent ones: when all targets reject a part
 // of their requests, the budget does not last for all.
 type Retries struct {
