sizer: probes and connections are divided by the known instances again

Cause: the number of instances that a start expects is too high a divisor for probes. A start knows no target and needs them most; what it chooses badly then it pays for long afterwards.

Change: probes and connections as before; the reserve of a start is 20 s of its share, which is what it was in effect. Retries and permits follow the expected fleet.

--- a/internal/process/composer/peers.go
+++ b/internal/process/composer/peers.go
@@ -42,7 +42,7 @@
 	now := time.Now()
 	i.forgetFacts(changes)
 	i.sizer.Update(members, now)
-	i.logSharers(i.sizer.Known())
+	i.logSharers(i.fleetSize(now).Known)
 }
 
 // fleetSize returns the number of instances that share the fleet's budgets.
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -79,7 +79,9 @@
 	// Table returns the routing table in force, or nil before the first one.
 	Table func() *router.Table
 	// FleetSize returns the number of instances that may be running, this one included. They
-	// share the budgets and the connections to a target.
+	// share the budgets and the connections to a target. Probes and connections are divided by
+	// the known ones: with fewer right after a start of all, requests are placed badly for
+	// many seconds.
 	FleetSize func(now time.Time) sizer.Size
 	// SpreadRumor sends the other instances a rumor about a request that may crash
 	// targets. The rumor says either that a target did not complete its response to
--- a/internal/process/forwarder/forwarder_test.go
+++ b/internal/process/forwarder/forwarder_test.go
@@ -49,7 +49,7 @@
 
 // fixedSize returns the size of a fleet that is known.
 func fixedSize(n int) func(time.Time) sizer.Size {
-	return func(time.Time) sizer.Size { return sizer.Size{Instances: n, Settled: true} }
+	return func(time.Time) sizer.Size { return sizer.Size{Instances: n, Known: n, Settled: true} }
 }
 
 // Guards against an instance that has met nobody and takes the whole allowance, and against one
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -86,7 +86,7 @@
 // caller of these holds s.mutex.
 func (s *service) allowProbes(n int, now time.Time) int {
 	rate := s.forwarder.budget.Load().ProbeRate * float64(s.targetCount)
-	granted := s.probes.Take(n, rate, s.forwarder.options.FleetSize(now).Instances, now)
+	granted := s.probes.Take(n, rate, s.forwarder.options.FleetSize(now).Known, now)
 	if granted < n {
 		s.forwarder.counters.probesWithheld.Inc(int64(n - granted))
 	}
@@ -273,7 +273,7 @@
 	if properties == nil || properties.MaxConnections == 0 {
 		return minConnections
 	}
-	share := connectionShare * float64(properties.MaxConnections) / float64(s.forwarder.options.FleetSize(time.Now()).Instances)
+	share := connectionShare * float64(properties.MaxConnections) / float64(s.forwarder.options.FleetSize(time.Now()).Known)
 	return max(int(share), minConnections)
 }
 
--- a/internal/process/sizer/sizer.go
+++ b/internal/process/sizer/sizer.go
@@ -25,6 +25,8 @@
 type Size struct {
 	// Instances is at least 1 and includes this instance.
 	Instances int
+	// Known is the number of instances that have been met, this one included.
+	Known int
 	// Settled means that Instances counts instances that are known. Otherwise it is a guess,
 	// and most of the fleet may be unknown.
 	Settled bool
@@ -80,7 +82,7 @@
 func (s *Sizer) Size(targets int, now time.Time) Size {
 	v := s.view.Load()
 	if v.met.IsZero() && s.options.Alone {
-		return Size{Instances: 1, Settled: true}
+		return Size{Instances: 1, Known: 1, Settled: true}
 	}
 	settled := !v.met.IsZero() && now.Sub(v.met) >= settleTime
 	n := v.known
@@ -90,8 +92,5 @@
 	if !settled {
 		n = max(n, targets)
 	}
-	return Size{Instances: n, Settled: settled}
+	return Size{Instances: n, Known: v.known, Settled: settled}
 }
-
-// Known returns the number of instances that are known, this one included.
-func (s *Sizer) Known() int { return s.view.Load().known }
--- a/internal/process/sizer/sizer_test.go
+++ b/internal/process/sizer/sizer_test.go
@@ -84,10 +84,10 @@
 	started := time.Unix(1000, 0)
 	s := New(Options{Zone: "a", Zones: zones})
 	s.Update(members(106, func(o int) bool { return o != 0 }), started)
-	require.Equal(t, Size{Instances: 106, Settled: true}, s.Size(189, started.Add(time.Minute)))
+	require.Equal(t, Size{Instances: 106, Known: 106, Settled: true}, s.Size(189, started.Add(time.Minute)))
 	s.Update(members(107, func(o int) bool { return o != 0 }), started.Add(time.Minute))
-	require.Equal(t, Size{Instances: 107, Settled: true}, s.Size(189, started.Add(time.Minute)))
+	require.Equal(t, Size{Instances: 107, Known: 107, Settled: true}, s.Size(189, started.Add(time.Minute)))
 
 	alone := New(Options{Zone: "a", Zones: zones, Alone: true})
-	require.Equal(t, Size{Instances: 1, Settled: true}, alone.Size(189, started))
+	require.Equal(t, Size{Instances: 1, Known: 1, Settled: true}, alone.Size(189, started))
 }
--- a/internal/request/budgeter/probes.go
+++ b/internal/request/budgeter/probes.go
@@ -9,9 +9,9 @@
 	// probeBurstPeriod is the period whose probes can be saved up. Load peaks last
 	// for several seconds; the fleet's rate holds over much longer periods.
 	probeBurstPeriod = 20 * time.Second
-	// probeStartPeriod is the period whose probes a new process can use at once.
-	// Each start grants them again.
-	probeStartPeriod = 4 * time.Second
+	// probeStartPeriod is the period whose probes a new process can use at once. Each start
+	// grants them again: a start knows no target, and the fleet's rate holds over a day.
+	probeStartPeriod = probeBurstPeriod
 )
 
 // Probes grants probes at an instance's share of the fleet's rate.
