--- a/internal/request/budgeter/starts_test.go
+++ b/internal/request/budgeter/starts_test.go
@@ -28,18 +28,18 @@
 	random := rand.New(rand.NewSource(seed))
 	began := time.Unix(0, 0)
 	fleet := make([]*Retries, s.instances)
-	startAll := func(now time.Time) {
+	startAll := func() {
 		for i := range fleet {
 			fleet[i] = &Retries{Ratio: ratio, Allowance: s.allowance, Window: window, Rounding: random.Float64()}
 		}
 	}
-	startAll(began)
+	startAll()
 	var events []event
 	next := 0
 	for now := began; now.Sub(began) < calmTime+2*window; {
 		now = now.Add(time.Duration(random.ExpFloat64() / s.rate * float64(time.Second)))
 		if next < len(s.times) && now.Sub(began) >= calmTime+s.times[next] {
-			startAll(now)
+			startAll()
 			next++
 		}
 		r := fleet[random.Intn(s.instances)]
