budgeter: a start gets a tenth of its share of the allowance at once, as before

Also two tests that were wrong themselves: TestResponsesKeepTheOrderOfConcurrentRequests kept its maximum by a load and a store, so that a lower one could replace it (now compare and swap, as strict); the fixture of the relay tests wrote a field from two goroutines that nothing read.

--- a/internal/connection/acceptor/acceptor_test.go
+++ b/internal/connection/acceptor/acceptor_test.go
@@ -75,7 +75,11 @@
 func TestResponsesKeepTheOrderOfConcurrentRequests(t *testing.T) {
 	var running, maxRunning atomic.Int32
 	_, address := startAcceptor(t, func(ctx context.Context, q *Request) *Response {
-		maxRunning.Store(max(maxRunning.Load(), running.Add(1)))
+		for n := running.Add(1); ; {
+			if before := maxRunning.Load(); n <= before || maxRunning.CompareAndSwap(before, n) {
+				break
+			}
+		}
 		defer running.Add(-1)
 		if q.RequestURI == "/0" {
 			time.Sleep(200 * time.Millisecond)
--- a/internal/process/forwarder/relay_test.go
+++ b/internal/process/forwarder/relay_test.go
@@ -24,7 +24,6 @@
 	relayed []*acceptor.Request
 	result  RelayResult
 	status  int
-	cutOff  bool
 }
 
 func newCutFixture(t *testing.T) *cutFixture {
@@ -45,7 +44,7 @@
 		},
 		Budget: Budget{RetryWindow: time.Second, ProbeRate: 100}, Table: func() *router.Table { return table },
 		FleetSize: fixedSize(2), CanRelay: func() bool { return true },
-		OnCutOff:   func(cutOff bool, _ time.Time) { f.cutOff = cutOff },
+		OnCutOff:   func(bool, time.Time) {},
 		LimitOwner: func(string, string) (limiter.Owner, bool) { return limiter.Owner{}, false },
 		Relay: func(_ context.Context, q *acceptor.Request, route *router.Route) (*acceptor.Response, RelayResult) {
 			require.Equal(t, []router.WeightedService{{Service: "parts", Weight: 1}}, route.Services)
--- a/internal/request/budgeter/retries.go
+++ b/internal/request/budgeter/retries.go
@@ -21,6 +21,9 @@
 	// part of the allowance comes by and by, so that starts in series get no more of it than
 	// one process, and is within what allowanceSafetyFactor leaves to others.
 	startAllowanceFactor = 0.3
+	// firstAllowanceFactor is the part of the allowance that a start gets at once. With it, the
+	// previous process's share and five starts within a window stay within the allowance.
+	firstAllowanceFactor = 0.1
 	// urgentShare is the fraction of the attempts that is kept for the more urgent
 	// requests while there are some.
 	urgentShare = 0.5
@@ -108,7 +111,8 @@
 	}
 	ratioFactor, allowanceFactor := ratioSafetyFactor, allowanceSafetyFactor
 	if age := now.Sub(r.start); age < r.Window {
-		ratioFactor, allowanceFactor = startRatioFactor, startAllowanceFactor*age.Seconds()/r.Window.Seconds()
+		ratioFactor = startRatioFactor
+		allowanceFactor = max(firstAllowanceFactor, startAllowanceFactor*age.Seconds()/r.Window.Seconds())
 	}
 	limit := ratioFactor*r.Ratio*requests + allowanceFactor*r.Allowance/float64(max(fleet, 1))
 	if urgentRequests > 0 {
--- a/internal/request/budgeter/starts_test.go
+++ b/internal/request/budgeter/starts_test.go
@@ -110,7 +110,7 @@
 	for _, c := range []struct {
 		age  time.Duration
 		want float64
-	}{{0, 0}, {window / 2, 0.5 * startAllowanceFactor * allowance}, {window, allowanceSafetyFactor * allowance}} {
+	}{{0, firstAllowanceFactor * allowance}, {window / 2, 0.5 * startAllowanceFactor * allowance}, {window, allowanceSafetyFactor * allowance}} {
 		require.EqualValues(t, c.want, r.Remaining(1, now.Add(c.age), 1), c.age)
 	}
 }
--- a/internal/standin/mutator/variants_test.go
+++ b/internal/standin/mutator/variants_test.go
@@ -115,7 +115,7 @@
 		"internal/process/relayer/confirm.go", "before == nil || before.Stamps == a.Stamps {", "before == nil || true {",
 	}}},
 	{"TestRestartsStayWithinAllowance", "internal/request/budgeter", []Edit{{
-		"internal/request/budgeter/retries.go", "		factor = startSafetyFactor\n", "		factor = allowanceSafetyFactor\n",
+		"internal/request/budgeter/retries.go", "		allowanceFactor = max(firstAllowanceFactor, startAllowanceFactor*age.Seconds()/r.Window.Seconds())\n", "		_ = age\n",
 	}}},
 	{"TestOffersEachSlotOnce", "internal/request/placer", []Edit{{
 		"internal/request/placer/remote.go", "		s.load.Running++\n", "",
