--- a/internal/process/forwarder/counters.go
+++ b/internal/process/forwarder/counters.go
@@ -67,20 +67,21 @@
 
 // countPermit counts a request for a permit to send to a limited target.
 func (c *counters) countPermit(service string, granted bool) {
-	result := "withheld"
-	if granted {
-		result = "granted"
-	}
-	c.scope.Tagged(map[string]string{"service": service, "result": result}).Counter("permits").Inc(1)
+	c.countGrant("permits", service, granted)
 }
 
 // countRetry counts a retry or hedge that was asked of the budget.
 func (c *counters) countRetry(service string, granted bool) {
+	c.countGrant("retries", service, granted)
+}
+
+// countGrant counts an answer to a question whether something may be sent.
+func (c *counters) countGrant(name, service string, granted bool) {
 	result := "withheld"
 	if granted {
 		result = "granted"
 	}
-	c.scope.Tagged(map[string]string{"service": service, "result": result}).Counter("retries").Inc(1)
+	c.scope.Tagged(map[string]string{"service": service, "result": result}).Counter(name).Inc(1)
 }
 
 // countCut counts a response that was cut off after its first part, by cause.
--- a/internal/process/sizer/doc.go
+++ b/internal/process/sizer/doc.go
@@ -1,4 +1,4 @@
 // Package sizer tells an instance among how many instances it has to divide what the fleet
-// may use together: its budgets of retries and probes, the connections to a target and the
-// messages to a limited one.
+// may use together, such as its budget of retries and the messages to a limited target, also
+// while it has met few of them.
 package sizer
