budgeter: starts in series get no more of the allowance than one process

Change: the allowance of a start comes by and by only. What the two platform tests are about, an installation that starts for the first time, has no previous process that could have used anything, and the settings say so: it has its full budget at once. Their sites say now that it is the first start; their assertions stay. An assertion on the start of a process is 'nothing' again.

--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -194,7 +194,7 @@
 	i.memory = reserver.New(share(memoryShare), nil)
 	i.seeker = &seeker.Seeker{Random: rand.IntN}
 	i.forwarder = forwarder.New(forwarder.Options{
-		Dialect: o.Dialect, Zone: o.Zone, LocalAddress: o.TargetsFrom, Budget: o.Budget,
+		Dialect: o.Dialect, Zone: o.Zone, LocalAddress: o.TargetsFrom, Budget: o.Budget, FirstStart: o.FirstStart,
 		Memory: reserver.New(share(aheadMemoryShare), i.memory),
 		Table:  i.tables.Current, FleetSize: i.fleetSize,
 		SpreadRumor: i.spreadRumor, OnTargetReplaced: i.targetReplaced,
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -74,14 +74,16 @@
 	// LocalAddress is the address from which targets are reached; the zero value means any.
 	LocalAddress netip.Addr
 	Budget       Budget
+	// FirstStart means that no instance has run before, so that nothing of the budget is used.
+	FirstStart bool
 	// Memory counts what is held of streamed responses.
 	Memory *reserver.Reserver
 	// Table returns the routing table in force, or nil before the first one.
 	Table func() *router.Table
 	// FleetSize returns the number of instances that may be running, this one included. They
 	// share the budgets and the connections to a target. Probes and connections are divided by
-	// the known ones: with fewer right after a start of all, requests are placed badly for
-	// many seconds.
+	// the known ones: with smaller shares right after a start of all, requests are placed
+	// badly for many seconds.
 	FleetSize func(now time.Time) sizer.Size
 	// SpreadRumor sends the other instances a rumor about a request that may crash
 	// targets. The rumor says either that a target did not complete its response to
@@ -124,7 +126,8 @@
 // use.
 type Forwarder struct {
 	options Options
-	// started is when the process started.
+	// started is when the process started, or a window of the retry budget earlier if no
+	// instance has run before.
 	started     time.Time
 	exchanger   *exchanger.Exchanger
 	quarantiner *quarantiner.Table
@@ -161,6 +164,9 @@
 		counters:    newCounters(o.Scope),
 		services:    map[string]*service{},
 	}
+	if o.FirstStart {
+		f.started = f.started.Add(-o.Budget.RetryWindow)
+	}
 	f.budget.Store(&o.Budget)
 	f.exchanger.LocalAddress, f.exchanger.Memory = o.LocalAddress, o.Memory
 	f.exchanger.OnConnect = func(netip.AddrPort) { f.counters.connections.Inc(1) }
--- a/internal/process/forwarder/forwarder_test.go
+++ b/internal/process/forwarder/forwarder_test.go
@@ -22,8 +22,7 @@
 	now, requests, attempts := time.Unix(1000, 0), 0, 0
 	f.started = now
 	healthy, shedding := f.service("healthy"), f.service("shedding")
-	// The instance gets its full share of the allowance once a window has passed.
-	require.True(t, healthy.takeRetry(1, now) && shedding.takeRetry(1, now))
+	require.False(t, healthy.takeRetry(1, now), "the previous process may have used the share")
 	now = now.Add(20 * time.Second)
 	for range 8000 {
 		now = now.Add(time.Millisecond)
--- a/internal/request/budgeter/budgeter_test.go
+++ b/internal/request/budgeter/budgeter_test.go
@@ -100,7 +100,7 @@
 func TestRetriesGrantAFewWithoutRequests(t *testing.T) {
 	r := &Retries{Ratio: ratio, Allowance: allowance, Window: window}
 	now := time.Unix(5, 0)
-	require.Equal(t, int(math.Floor(firstAllowanceFactor*allowance/4)), r.Remaining(1, now, 4), "the previous process may have used the share")
+	require.Zero(t, r.Remaining(1, now, 4), "the previous process may have used the share")
 	now = now.Add(window)
 	granted := 0
 	for range 100 {
--- a/internal/request/budgeter/retries.go
+++ b/internal/request/budgeter/retries.go
@@ -21,9 +21,6 @@
 	// part of the allowance comes by and by, so that starts in series get no more of it than
 	// one process, and is within what allowanceSafetyFactor leaves to others.
 	startAllowanceFactor = 0.3
-	// firstAllowanceFactor is the part of the allowance that a start gets at once. With it, the
-	// previous process's share and five starts within a window stay within the allowance.
-	firstAllowanceFactor = 0.1
 	// urgentShare is the fraction of the attempts that is kept for the more urgent
 	// requests while there are some.
 	urgentShare = 0.5
@@ -33,9 +30,8 @@
 // window it grants at most Ratio times the window's requests plus this instance's
 // share of the fleet's allowance; in the first window after a start a small part of that,
 // because nothing is known of the attempts of the previous process. While requests of
-// several priorities arrive, it keeps
-// urgentShare of these attempts for the more urgent ones: when all targets reject a part
-// of their requests, the budget does not last for all.
+// several priorities arrive, it keeps urgentShare of these attempts for the more urgent
+// ones: when all targets reject a part of their requests, the budget does not last for all.
 type Retries struct {
 	// Ratio is the maximum number of additional attempts per request.
 	Ratio float64
@@ -111,8 +107,7 @@
 	}
 	ratioFactor, allowanceFactor := ratioSafetyFactor, allowanceSafetyFactor
 	if age := now.Sub(r.start); age < r.Window {
-		ratioFactor = startRatioFactor
-		allowanceFactor = max(firstAllowanceFactor, startAllowanceFactor*age.Seconds()/r.Window.Seconds())
+		ratioFactor, allowanceFactor = startRatioFactor, startAllowanceFactor*age.Seconds()/r.Window.Seconds()
 	}
 	limit := ratioFactor*r.Ratio*requests + allowanceFactor*r.Allowance/float64(max(fleet, 1))
 	if urgentRequests > 0 {
--- a/internal/request/budgeter/starts_test.go
+++ b/internal/request/budgeter/starts_test.go
@@ -23,6 +23,15 @@
 // calmTime is longer than the window of the budget, so that its requests have all been earned.
 const calmTime = 12 * time.Second
 
+// series returns n times at a distance, beginning with the first.
+func series(first, distance time.Duration, n int) []time.Duration {
+	var times []time.Duration
+	for k := range n {
+		times = append(times, first+time.Duration(k)*distance)
+	}
+	return times
+}
+
 // play returns the requests and the attempts beyond the first of the whole fleet.
 func (s starts) play(seed int64) []event {
 	random := rand.New(rand.NewSource(seed))
@@ -92,6 +101,7 @@
 			{1500 * time.Millisecond},
 			{2 * time.Second, 4 * time.Second},
 			{time.Second, 3 * time.Second, 5 * time.Second, 7 * time.Second, 9 * time.Second},
+			series(2*time.Second, 750*time.Millisecond, 12),
 		} {
 			t.Run(fmt.Sprintf("%d instances, %g per second, %d starts", s.instances, s.rate, len(s.times)), func(t *testing.T) {
 				for seed := range int64(3) {
@@ -110,7 +120,7 @@
 	for _, c := range []struct {
 		age  time.Duration
 		want float64
-	}{{0, firstAllowanceFactor * allowance}, {window / 2, 0.5 * startAllowanceFactor * allowance}, {window, allowanceSafetyFactor * allowance}} {
+	}{{0, 0}, {window / 2, 0.5 * startAllowanceFactor * allowance}, {window, allowanceSafetyFactor * allowance}} {
 		require.EqualValues(t, c.want, r.Remaining(1, now.Add(c.age), 1), c.age)
 	}
 }
--- a/internal/standin/mutator/variants_test.go
+++ b/internal/standin/mutator/variants_test.go
@@ -115,7 +115,19 @@
 		"internal/process/relayer/confirm.go", "before == nil || before.Stamps == a.Stamps {", "before == nil || true {",
 	}}},
 	{"TestRestartsStayWithinAllowance", "internal/request/budgeter", []Edit{{
-		"internal/request/budgeter/retries.go", "		allowanceFactor = max(firstAllowanceFactor, startAllowanceFactor*age.Seconds()/r.Window.Seconds())\n", "		_ = age\n",
+		"internal/request/budgeter/retries.go", "if age := now.Sub(r.start); age < r.Window {\n", "if age := now.Sub(r.start); false {\n",
+	}}},
+	{"TestStartsDoNotSpendTheRetriesOfACalmWindowTwice", "internal/request/budgeter", []Edit{{
+		"internal/request/budgeter/retries.go", "startRatioFactor, startAllowanceFactor*age", "ratioSafetyFactor, startAllowanceFactor*age",
+	}}},
+	{"TestPartsOfAFleetThatHasJustStartedAddUpToNoMoreThanTheWhole", "internal/process/sizer", []Edit{{
+		"internal/process/sizer/sizer.go", "		n = max(n, targets)\n", "",
+	}}},
+	{"TestZonesThatNeverMetDivideTheFleet", "internal/process/sizer", []Edit{{
+		"internal/process/sizer/sizer.go", "	if s.options.Zones > v.zones {\n", "	if false {\n",
+	}}},
+	{"TestPausedTargetIsNotAskedAboutAnOverdueRequest", "internal/process/forwarder", []Edit{{
+		"internal/process/forwarder/service.go", "	if !s.admits(t, admitter.Probe, time.Now()) {\n", "	if false {\n",
 	}}},
 	{"TestOffersEachSlotOnce", "internal/request/placer", []Edit{{
 		"internal/request/placer/remote.go", "		s.load.Running++\n", "",
