forwarder: what one target says of its warm-up updates that target only

Cause: each cold target says at its next probe that it is cold. The instance then went through all runs and all targets: in the profile of a zone back cold under a burst, 1.36 of 5.80 s of processor time, and the longest 100 ms. Change: Forwarder.SetWarmup sets the end of one run's warm-up in the limiter, the admitter and the placer.

--- a/internal/process/composer/peers.go
+++ b/internal/process/composer/peers.go
@@ -96,11 +96,15 @@
 
 // targetWarmup records how long a run says that it stays cold, and reports whether that is
 // news.
-func (i *Instance) targetWarmup(_, key string, left time.Duration, now time.Time) bool {
+func (i *Instance) targetWarmup(service, key string, left time.Duration, now time.Time) bool {
 	if !i.registrar.RecordWarmup(key, left, now) {
 		return false
 	}
-	i.updateTargets(now)
+	i.targetsMutex.Lock()
+	defer i.targetsMutex.Unlock()
+	if end, known := i.registrar.WarmupEnd(key); known {
+		i.forwarder.SetWarmup(service, key, end, now)
+	}
 	return true
 }
 
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -137,10 +137,10 @@
 	targets := make([]placer.Target, 0, len(usable))
 	rate := s.forwarder.warmupRate(s.name)
 	for i := range usable {
-		u := &usable[i]
-		s.setWarmup(u, rate, now)
+		u, key := &usable[i], usable[i].Key()
+		s.setWarmup(key, u.WarmupEnd, rate, now)
 		targets = append(targets, placer.Target{
-			ID: u.Key(), Name: u.Name, Address: u.Address, Zone: u.Zone, Slots: u.Slots, WarmupEnd: u.WarmupEnd,
+			ID: key, Name: u.Name, Address: u.Address, Zone: u.Zone, Slots: u.Slots, WarmupEnd: u.WarmupEnd,
 		})
 	}
 	s.targets.Store(&targets)
--- a/internal/process/forwarder/warmups.go
+++ b/internal/process/forwarder/warmups.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"oriolecourse.example/oriolecourse/internal/process/limiter"
-	"oriolecourse.example/oriolecourse/internal/process/registrar"
 )
 
 // warmupRate returns the rate of permits for a cold target of a service; Unlimited if there
@@ -33,12 +32,23 @@
 	return false
 }
 
+// SetWarmup records until when a run of a service is cold. Each target of a zone that has come
+// back cold says so at its next probe, so it costs no more than this run takes.
+func (f *Forwarder) SetWarmup(service, key string, end, now time.Time) {
+	s := f.service(service)
+	s.setWarmup(key, end, f.warmupRate(service), now)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.placer.SetWarmupEnd(key, end)
+	s.step(now)
+}
+
 // setWarmup records until when a run is cold, if there is a bound on its requests.
-func (s *service) setWarmup(u *registrar.UsableRun, rate float64, now time.Time) {
+func (s *service) setWarmup(key string, end time.Time, rate float64, now time.Time) {
 	w := limiter.Warmup{}
-	if rate != limiter.Unlimited && u.WarmupEnd.After(now) {
-		w = limiter.Warmup{Rate: rate, Until: u.WarmupEnd}
+	if rate != limiter.Unlimited && end.After(now) {
+		w = limiter.Warmup{Rate: rate, Until: end}
 	}
-	s.forwarder.limiter.SetWarmup(u.Key(), w, now)
-	s.forwarder.admitter.Run(u.Key()).SetCold(w.Until)
+	s.forwarder.limiter.SetWarmup(key, w, now)
+	s.forwarder.admitter.Run(key).SetCold(w.Until)
 }
--- a/internal/process/forwarder/warmups_test.go
+++ b/internal/process/forwarder/warmups_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -91,3 +92,27 @@
 	require.Equal(t, limiter.Unlimited, f.limiter.Bound(target.ID, now))
 	require.False(t, f.admitter.Run(target.ID).Cold(now))
 }
+
+// Guards against a zone that comes back cold and keeps its callers busy: each of its targets
+// says so at its next probe, and each time the instance went through all targets.
+func TestWarmupOfOneRunCostsNoMoreThanThatRun(t *testing.T) {
+	const targets, maxAllocations = 266, 20
+	f, target := warmupFixture(t, Options{}, 0)
+	now := time.Now()
+	runs := []registrar.UsableRun{}
+	for k := range targets {
+		runs = append(runs, registrar.UsableRun{Run: registrar.Run{
+			Name: fmt.Sprint(k), Service: "parts", Zone: "a", Slots: 4, Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1+k)),
+		}})
+	}
+	f.SetTargets(map[string][]registrar.UsableRun{"parts": runs}, now)
+	cold := now.Add(3 * time.Second)
+	allocations := testing.AllocsPerRun(10, func() { f.SetWarmup("parts", runs[7].Key(), cold, now) })
+	require.LessOrEqual(t, allocations, float64(maxAllocations))
+	require.True(t, f.admitter.Run(runs[7].Key()).Cold(now))
+	require.False(t, f.admitter.Run(runs[8].Key()).Cold(now))
+	f.SetWarmup("parts", runs[7].Key(), now, now)
+	require.False(t, f.admitter.Run(runs[7].Key()).Cold(now), "it says that it is warm")
+	f.SetWarmup("parts", target.ID, cold, now)
+	require.True(t, f.admitter.Run(target.ID).Cold(now), "a run that is not listed any more")
+}
--- a/internal/process/registrar/warmup.go
+++ b/internal/process/registrar/warmup.go
@@ -13,6 +13,17 @@
 	}
 }
 
+// WarmupEnd returns when a run reaches its usual speed. The second result is false if the run
+// is not known.
+func (r *Registrar) WarmupEnd(key string) (time.Time, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if e := r.entries[key]; e != nil {
+		return e.warmupEnd, true
+	}
+	return time.Time{}, false
+}
+
 // RecordWarmup records how long a run says that it stays cold; 0 means that it is warm. It
 // reports whether the end of the run's warm-up has moved by warmupTolerance or more. A run
 // that is not known is ignored.
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -163,6 +163,13 @@
 	p.targets = next
 }
 
+// SetWarmupEnd sets when a target's slow period after its start ends.
+func (p *Placer) SetWarmupEnd(id string, end time.Time) {
+	if s := p.targets[id]; s != nil {
+		s.WarmupEnd = end
+	}
+}
+
 // meanOwnSlowdown returns the mean of the targets' own slowdowns. It is the initial
 // value for a new target, because own slowdowns are relative to each other, not to a
 // fixed value.
