forwarder: links are looked at only while a contact is unanswered

Cause: four times a second each instance went through all targets to find whom a check of the links may contact: 18 of 203 MB allocated in the profile, while no check was due. Change: Surveyor.Suspects answers first.

--- a/internal/process/forwarder/links.go
+++ b/internal/process/forwarder/links.go
@@ -108,6 +108,9 @@
 
 // checkLinks starts a check of the links to the targets if one is due.
 func (s *service) checkLinks(now time.Time) {
+	if !s.surveyor.Suspects() {
+		return
+	}
 	if targets := s.contactable(s.linkTargets(), now); s.surveyor.StartCheck(len(targets), now) {
 		go s.contactTargets(targets)
 	}
--- a/internal/process/forwarder/warmups_test.go
+++ b/internal/process/forwarder/warmups_test.go
@@ -93,18 +93,24 @@
 	require.False(t, f.admitter.Run(target.ID).Cold(now))
 }
 
+// manyRuns returns the runs of a number of targets.
+func manyRuns(count int) []registrar.UsableRun {
+	runs := []registrar.UsableRun{}
+	for k := range count {
+		runs = append(runs, registrar.UsableRun{Run: registrar.Run{
+			Name: fmt.Sprint(k), Service: "parts", Zone: "a", Slots: 4, Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1+k)),
+		}})
+	}
+	return runs
+}
+
 // Guards against a zone that comes back cold and keeps its callers busy: each of its targets
 // says so at its next probe, and each time the instance went through all targets.
 func TestWarmupOfOneRunCostsNoMoreThanThatRun(t *testing.T) {
 	const targets, maxAllocations = 266, 20
 	f, target := warmupFixture(t, Options{}, 0)
 	now := time.Now()
-	runs := []registrar.UsableRun{}
-	for k := range targets {
-		runs = append(runs, registrar.UsableRun{Run: registrar.Run{
-			Name: fmt.Sprint(k), Service: "parts", Zone: "a", Slots: 4, Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1+k)),
-		}})
-	}
+	runs := manyRuns(targets)
 	f.SetTargets(map[string][]registrar.UsableRun{"parts": runs}, now)
 	cold := now.Add(3 * time.Second)
 	allocations := testing.AllocsPerRun(10, func() { f.SetWarmup("parts", runs[7].Key(), cold, now) })
--- a/internal/process/surveyor/surveyor.go
+++ b/internal/process/surveyor/surveyor.go
@@ -37,6 +37,14 @@
 // CutOff reports whether the instance is cut off from all targets.
 func (s *Surveyor) CutOff() bool { return s.cutOff.Load() }
 
+// Suspects reports whether a check of the links may be due: the instance is cut off, or a
+// contact has gone unanswered.
+func (s *Surveyor) Suspects() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.cutOff.Load() || len(s.unanswered) > 0
+}
+
 // RecordAnswer records an answered contact. It reports whether it has ended a cut.
 func (s *Surveyor) RecordAnswer() (ended bool) {
 	s.mutex.Lock()
