placer: what is the same for all waiting requests is found once a step

Cause: for each request that waits, each report of a target went through all targets three times and copied them; so an instance whose requests wait lags, and then more wait. Change: candidates are found once a step for idempotent and non-idempotent requests, and a choice looks only at targets whose load may be known.

--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"oriolecourse.example/oriolecourse/internal/request/admitter"
@@ -114,9 +115,14 @@
 	targets   map[string]*targetState
 	// searches holds the start of the outstanding search in each remote zone.
 	searches map[string]time.Time
-	// ids holds the identifiers of the targets in sorted order.
-	ids     []string
+	// states holds the targets, sorted by identifier.
+	states  []*targetState
 	waiting []*Ticket
+	// idempotent and nonIdempotent hold the candidates in the current step for requests that
+	// were sent to no target yet, own those for another request.
+	idempotent, nonIdempotent, own candidates
+	// free holds the free targets of one choice.
+	free []*targetState
 	// workTimes holds the work time of each kind at a slowdown of 1.
 	workTimes map[string]time.Duration
 	// lastRound is when the last round of probes began.
@@ -145,7 +151,7 @@
 // targets that stay.
 func (p *Placer) SetTargets(targets []Target) {
 	next := make(map[string]*targetState, len(targets))
-	p.ids = p.ids[:0]
+	p.states = make([]*targetState, 0, len(targets))
 	mean := p.meanOwnSlowdown()
 	for _, t := range targets {
 		s := p.targets[t.ID]
@@ -157,9 +163,9 @@
 		}
 		s.Zone, s.Address, s.WarmupEnd = t.Zone, t.Address, t.WarmupEnd
 		next[t.ID] = s
-		p.ids = append(p.ids, t.ID)
+		p.states = append(p.states, s)
 	}
-	slices.Sort(p.ids)
+	slices.SortFunc(p.states, func(a, b *targetState) int { return strings.Compare(a.ID, b.ID) })
 	p.targets = next
 }
 
--- a/internal/request/placer/preference.go
+++ b/internal/request/placer/preference.go
@@ -10,7 +10,7 @@
 // prefer removes the targets that are the last choice for the request from the free ones if
 // another one is free or may still report a free slot. If a limited or cold target needs a
 // request, it returns only those that do.
-func (p *Placer) prefer(t *Ticket, free, usable []*targetState, now time.Time) []*targetState {
+func (p *Placer) prefer(t *Ticket, free []*targetState, usable *candidates, now time.Time) []*targetState {
 	last := func(s *targetState) bool {
 		a := s.admission.Admit(admitter.Request, now)
 		return a.LastChoice || a.Cold && t.NonIdempotent
@@ -29,7 +29,7 @@
 	}
 	other := func(s *targetState) bool { return !last(s) }
 	mayFindRoom := slices.ContainsFunc(free, other) || t.rounds == 0 || p.awaitsReport(usable, now)
-	if slices.ContainsFunc(usable, other) && mayFindRoom {
+	if slices.ContainsFunc(usable.targets, other) && mayFindRoom {
 		return slices.DeleteFunc(free, last)
 	}
 	return free
@@ -59,9 +59,9 @@
 // firstOpening returns when the first of the targets that take no request now takes one, and
 // whether that is known of any target for the request.
 func (p *Placer) firstOpening(t *Ticket, now time.Time) (opening time.Time, known bool) {
-	for _, id := range p.ids {
-		opens := p.targets[id].admission.Admit(admitter.Request, now).Opens
-		if !opens.IsZero() && !slices.Contains(t.Avoid, id) && (!known || opens.Before(opening)) {
+	for _, s := range p.states {
+		opens := s.admission.Admit(admitter.Request, now).Opens
+		if !opens.IsZero() && !slices.Contains(t.Avoid, s.ID) && (!known || opens.Before(opening)) {
 			opening, known = opens, true
 		}
 	}
--- a/internal/request/placer/reject.go
+++ b/internal/request/placer/reject.go
@@ -7,13 +7,13 @@
 
 // reject rejects a request that cannot be served in time. rank is the number of
 // requests that start before it.
-func (p *Placer) reject(t *Ticket, usable []*targetState, rank int, now time.Time) (Rejection, bool) {
+func (p *Placer) reject(t *Ticket, usable *candidates, rank int, now time.Time) (Rejection, bool) {
 	rejection := func(r Reason, wait time.Duration) (Rejection, bool) {
 		return Rejection{Ticket: t, RetryAfter: max(p.spread(wait), minRetryAfter), Reason: r}, true
 	}
 	wait := p.expectedWait(rank)
 	last := t.Deadline.Add(-p.shortestWorkTime(t))
-	if len(usable) == 0 {
+	if len(usable.targets) == 0 {
 		opening, known := p.firstOpening(t, now)
 		wait = max(wait, opening.Sub(now))
 		switch {
--- a/internal/request/placer/remote.go
+++ b/internal/request/placer/remote.go
@@ -39,7 +39,8 @@
 		return nil
 	}
 	var free []*targetState
-	for _, s := range p.usable(&Ticket{}, now) {
+	p.collect(&p.own, &Ticket{}, now)
+	for _, s := range p.own.reported {
 		if p.isLocal(s) && s.admission.Admit(admitter.Offer, now).Admitted && s.reportsLoad && s.fresh(now, freshReportAge) && s.hasFreeSlot(now) && s.slowdown(now) <= slowdown {
 			free = append(free, s)
 		}
@@ -59,7 +60,8 @@
 	if len(p.waiting) > 0 {
 		return nil
 	}
-	local, _ := p.probeCandidates(&Ticket{}, now)
+	p.collect(&p.own, &Ticket{}, now)
+	local, _ := p.probeCandidates(&p.own, now)
 	return p.probe(p.drawLocal(local, false, now), now)
 }
 
--- a/internal/request/placer/statements_test.go
+++ b/internal/request/placer/statements_test.go
@@ -54,8 +54,8 @@
 // no more requests than they have slots.
 func TestTargetsThatAreLeftAreNotFlooded(t *testing.T) {
 	f := newFixture(t, 10, 0)
-	for _, id := range f.ids[1:] {
-		f.Admitter.Run(id).Pause(f.now.Add(5*time.Second), f.now)
+	for _, s := range f.states[1:] {
+		f.Admitter.Run(s.ID).Pause(f.now.Add(5*time.Second), f.now)
 	}
 	granted := 0
 	for range 40 {
--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -14,6 +14,7 @@
 	a := Actions{}
 	p.dropOldStarts(now)
 	p.sortWaiting(now)
+	p.idempotent.valid, p.nonIdempotent.valid = false, false
 	kept := p.waiting[:0]
 	awaiting := false
 	for rank, t := range p.waiting {
@@ -74,11 +75,11 @@
 	return due.Add(time.Duration(t.Priority) * priorityStep)
 }
 
-// choose starts a request at one of the usable targets if one is fast enough. If one
+// choose starts a request at one of the candidates if one is fast enough. If one
 // is, but a faster target may still report, it starts nothing and awaits is true. A
 // faster target may report while a probe or search is outstanding, and before the
 // request's first round of probes unless probes are denied.
-func (p *Placer) choose(t *Ticket, usable []*targetState, now time.Time) (g Grant, ok, awaits bool) {
+func (p *Placer) choose(t *Ticket, usable *candidates, now time.Time) (g Grant, ok, awaits bool) {
 	best, slowdown := p.bestTarget(t, usable, now)
 	if best == nil {
 		return Grant{}, false, false
@@ -106,7 +107,7 @@
 // bestTarget returns the target with a free slot and the least slowdown, and that
 // slowdown. It draws at random among about equal targets, so that a new target gets
 // its share, and prefers local targets. Without reports all targets count as equal.
-func (p *Placer) bestTarget(t *Ticket, usable []*targetState, now time.Time) (*targetState, float64) {
+func (p *Placer) bestTarget(t *Ticket, usable *candidates, now time.Time) (*targetState, float64) {
 	age := freshReportAge
 	if p.probesDenied && !p.needsRoom(t, now) {
 		// The request waits for a newer report for as long as this one was old on its
@@ -115,8 +116,11 @@
 	}
 	noReports := p.noReports(t, usable, now) && !p.needsRoom(t, now)
 	standing := p.standing(t, now)
-	var free []*targetState
-	for _, s := range usable {
+	free, reported := p.free[:0], usable.reported
+	if noReports {
+		reported = usable.targets
+	}
+	for _, s := range reported {
 		switch {
 		case !noReports && !s.fresh(now, age) || !s.hasFreeSlot(now):
 		case s.hasRoom(standing, now):
@@ -125,6 +129,7 @@
 			p.recordDeferral(t, standing)
 		}
 	}
+	p.free = free
 	free = p.prefer(t, free, usable, now)
 	free = preferAccepting(free, now)
 	least := math.Inf(1)
@@ -147,48 +152,14 @@
 
 // noReports reports whether no target has reported its load for some time although
 // probes were sent for the request: the health endpoint or the network is broken.
-func (p *Placer) noReports(t *Ticket, usable []*targetState, now time.Time) bool {
+func (p *Placer) noReports(t *Ticket, usable *candidates, now time.Time) bool {
 	return t.rounds >= noReportRounds && now.Sub(p.lastReport) > staleReportAge && !p.awaitsReport(usable, now)
 }
 
-// usable returns the targets that a request may be sent to. It excludes targets that
-// the request was sent to, targets that take no request now, and avoided targets unless
-// most targets are avoided. For a non-idempotent request it also excludes targets with a
-// recent failure, unless most targets have one or are avoided.
-func (p *Placer) usable(t *Ticket, now time.Time) []*targetState {
-	var all, good, safe []*targetState
-	for _, id := range p.ids {
-		s := p.targets[id]
-		if slices.Contains(t.Avoid, id) || !s.admission.Admit(admitter.Request, now).Admitted {
-			continue
-		}
-		all = append(all, s)
-		if now.Before(s.avoidUntil) {
-			continue
-		}
-		good = append(good, s)
-		if s.lastFailure.IsZero() || now.Sub(s.lastFailure) >= recentFailureTime {
-			safe = append(safe, s)
-		}
-	}
-	switch {
-	case t.NonIdempotent && 2*len(safe) >= len(all):
-		return safe
-	case 2*len(good) >= len(all):
-		return good
-	}
-	return all
-}
-
-// awaitsReport reports whether a probe of one of the targets or a search in a remote
+// awaitsReport reports whether a probe of one of the candidates or a search in a remote
 // zone is outstanding.
-func (p *Placer) awaitsReport(usable []*targetState, now time.Time) bool {
-	for _, s := range usable {
-		if !s.probeSent.IsZero() && now.Sub(s.probeSent) < probeTimeout {
-			return true
-		}
-	}
-	return p.awaitsSearch(now)
+func (p *Placer) awaitsReport(c *candidates, now time.Time) bool {
+	return c.awaited || p.awaitsSearch(now)
 }
 
 // startRound begins a round of probes if one is due. The round is for the first
@@ -200,7 +171,7 @@
 	if roundBegan && now.Sub(p.lastRound) < probeInterval {
 		return
 	}
-	local, remote := p.probeCandidates(t, now)
+	local, remote := p.probeCandidates(p.usable(t, now), now)
 	targets := p.drawLocal(local, t.rounds == 0, now)
 	if p.coversRemote(t, len(targets), now) {
 		zones, direct := p.planSearch(remote, now)
@@ -222,7 +193,7 @@
 // localProbes is the number of local targets that the round probes.
 func (p *Placer) coversRemote(t *Ticket, localProbes int, now time.Time) bool {
 	switch {
-	case t.Hedge || !slices.ContainsFunc(p.usable(t, now), p.isLocal):
+	case t.Hedge || !p.usable(t, now).hasLocal:
 		return true
 	case now.Sub(t.Arrived) < time.Duration(p.LocalWait*float64(t.LatencyObjective-p.workTime(t))):
 		return false
@@ -243,13 +214,13 @@
 	return probed
 }
 
-// probeCandidates returns the local and the remote targets that may have a free slot,
+// probeCandidates returns the local and the remote candidates that may have a free slot,
 // that have no outstanding probe and that are not known to answer probes without
 // reporting load.
-func (p *Placer) probeCandidates(t *Ticket, now time.Time) (local, remote []*targetState) {
-	for _, s := range p.usable(t, now) {
+func (p *Placer) probeCandidates(c *candidates, now time.Time) (local, remote []*targetState) {
+	for _, s := range c.targets {
 		switch {
-		case !s.admission.Admit(admitter.Probe, now).Admitted || s.answeredWithoutLoad || len(s.running) >= s.Slots || !s.probeSent.IsZero() && now.Sub(s.probeSent) < probeTimeout:
+		case !s.admission.Admit(admitter.Probe, now).Admitted || s.answeredWithoutLoad || len(s.running) >= s.Slots || s.isAwaited(now):
 		case s.fresh(now, freshReportAge) && !s.hasFreeSlot(now):
 		case p.isLocal(s):
 			local = append(local, s)
