composer: a change of settings touches the targets only if their cold bounds change

Cause: each change of the settings went through all targets, 0.18 of 3.27 s in the profile of changes under a burst. Change: the targets are updated if the rate of a service has changed.

--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -135,8 +135,11 @@
 	tables    *adopter.Adopter[router.Table]
 	lists     *adopter.Adopter[registrar.List]
 	numbering registrar.Numbering
-	registrar *registrar.Registrar
-	forwarder *forwarder.Forwarder
+	// warmupRates holds the rate of each service by which the targets were last updated. Only
+	// tableChanged uses it.
+	warmupRates map[string]float64
+	registrar   *registrar.Registrar
+	forwarder   *forwarder.Forwarder
 	// targetsMutex orders the updates of the forwarder's targets, so that an older state of
 	// the registrar never replaces a newer one.
 	targetsMutex sync.Mutex
--- a/internal/process/composer/documents.go
+++ b/internal/process/composer/documents.go
@@ -1,6 +1,7 @@
 package composer
 
 import (
+	"maps"
 	"time"
 
 	"github.com/go-kit/log"
@@ -122,8 +123,13 @@
 
 func (i *Instance) tableChanged(t *router.Table, s adopter.Stamp, now time.Time) {
 	_ = level.Info(i.options.Logger).Log("msg", "settings in force", "version", s, "routes", len(t.Routes), "services", len(t.Services))
-	// The bound on a cold target depends on its service.
-	i.updateTargets(now)
+	// The bound on a cold target depends on its service. Nothing else of the targets depends on
+	// the settings, and these may change several times a second.
+	rates := t.WarmupRates()
+	if !maps.Equal(rates, i.warmupRates) {
+		i.warmupRates = rates
+		i.updateTargets(now)
+	}
 }
 
 func (i *Instance) listChanged(l *registrar.List, s adopter.Stamp, now time.Time) {
--- a/internal/version/router/table.go
+++ b/internal/version/router/table.go
@@ -180,6 +180,15 @@
 	return nil
 }
 
+// WarmupRates returns the number of requests per second that a cold target takes, by service.
+func (t *Table) WarmupRates() map[string]float64 {
+	rates := make(map[string]float64, len(t.Services))
+	for i := range t.Services {
+		rates[t.Services[i].Name] = t.Services[i].WarmupRate
+	}
+	return rates
+}
+
 // Service returns the service with a name, or nil when there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
