--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -113,8 +113,15 @@
 	return s.take(now, func(fleet int) bool { return s.retries.Take(priority, now, fleet) })
 }
 
-// takeRetryAfterShed is takeRetry for a request that a target has shed.
+// takeRetryAfterShed is takeRetry for a request that a target has shed. While requests wait
+// here, the service lacks room: a client that returns would find no more of it, and later.
 func (s *service) takeRetryAfterShed(priority int, returned bool, now time.Time) bool {
+	s.mutex.Lock()
+	waiting := s.placer.Waiting()
+	s.mutex.Unlock()
+	if waiting > 0 {
+		return s.takeRetry(priority, now)
+	}
 	return s.take(now, func(fleet int) bool { return s.retries.TakeAfterShed(priority, returned, now, fleet) })
 }
 
