placer: rounds probe as few targets as find a free one in eight of ten

Cause: each round probed four targets. Most slots of a service are free at most times, so the second answer seldom told anything: 4.1 probes a request, paid for at both ends. Change: the first two rounds of a request probe the fewest targets of which one is free and not slow with a probability of 0.8, by the reports of the last probes; the next round begins when all of these have reported. From the third round on it is four, as before.

--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -30,7 +30,7 @@
 	// probeInterval is the time between two rounds of probes while requests wait.
 	probeInterval = 20 * time.Millisecond
 	// localFanout and remoteFanout are the maximum numbers of local and of remote
-	// targets that a round probes.
+	// targets that a round probes. Short rounds probe fewer local ones while most are free.
 	localFanout  = 4
 	remoteFanout = 3
 	// exploreShare is the share of the requests whose first round probes a target without
@@ -129,6 +129,11 @@
 	lastRound time.Time
 	// probesDenied means that AllowProbes granted no probe in the last round.
 	probesDenied bool
+	// isShort means that the last round probed fewer than localFanout local targets.
+	isShort bool
+	// hitShare is the moving average of the share of the probes whose report lets a request
+	// start.
+	hitShare float64
 	// lastReport is when a target last reported its load.
 	lastReport time.Time
 	// lastDropped is when a target was last found to have dropped a request; zero means
@@ -228,7 +233,11 @@
 // probe. asked is when the request or probe was sent.
 func (p *Placer) Report(id string, l Load, asked, now time.Time) {
 	if s := p.targets[id]; s != nil {
+		probed := s.isAwaited(now)
 		s.setReport(l, asked, now)
+		if probed {
+			p.recordHit(s, now)
+		}
 		p.lastReport = now
 		s.failedProbes, s.probeSent = 0, time.Time{}
 	}
--- a/internal/request/placer/remote.go
+++ b/internal/request/placer/remote.go
@@ -62,7 +62,7 @@
 	}
 	p.collect(&p.own, &Ticket{}, now)
 	local, _ := p.probeCandidates(&p.own, now)
-	return p.probe(p.drawLocal(local, false, now), now)
+	return p.probe(p.drawLocal(local, localFanout, false, now), now)
 }
 
 // SearchEnded records that the search in a remote zone has ended. Before that, the
--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -168,11 +168,17 @@
 	t := p.waiting[0]
 	// Until a round has begun since the request arrived, one is due at once.
 	roundBegan := p.lastRound.After(t.Arrived) || t.rounds > 0
-	if roundBegan && now.Sub(p.lastRound) < probeInterval {
+	c := p.usable(t, now)
+	// A short round is followed by the next one as soon as all its reports are in.
+	if roundBegan && now.Sub(p.lastRound) < probeInterval && (!p.isShort || c.awaited) {
 		return
 	}
-	local, remote := p.probeCandidates(p.usable(t, now), now)
-	targets := p.drawLocal(local, t.rounds == 0, now)
+	local, remote := p.probeCandidates(c, now)
+	fanout := localFanout
+	if t.rounds < shortRounds && !t.Hedge {
+		fanout = p.shortFanout()
+	}
+	targets := p.drawLocal(local, fanout, t.rounds == 0, now)
 	if p.coversRemote(t, len(targets), now) {
 		zones, direct := p.planSearch(remote, now)
 		targets = append(targets, direct...)
@@ -183,6 +189,7 @@
 	}
 	a.Probes = p.probe(targets, now)
 	p.probesDenied = len(a.Probes) == 0 && len(targets) > 0
+	p.isShort = fanout < localFanout && len(a.Probes) > 0
 	p.lastRound = now
 	for _, w := range p.waiting {
 		w.rounds++
@@ -231,11 +238,11 @@
 	return local, remote
 }
 
-// drawLocal draws the local targets to probe in a round. It prefers targets that have
+// drawLocal draws up to fanout local targets to probe in a round. It prefers targets that have
 // reported within openConnectionAge, to which connections are open. It includes at least
 // one other target, if there is any, in all rounds of a request but the first, and in a
 // part of the first rounds: one that has never reported if possible.
-func (p *Placer) drawLocal(local []*targetState, firstRound bool, now time.Time) []*targetState {
+func (p *Placer) drawLocal(local []*targetState, fanout int, firstRound bool, now time.Time) []*targetState {
 	var connected, unconnected, unknown []*targetState
 	for _, s := range local {
 		switch {
@@ -251,10 +258,10 @@
 	if firstRound && p.Random() >= exploreShare {
 		explored = 0
 	}
-	explored = max(explored, localFanout-len(connected))
+	explored = max(explored, fanout-len(connected))
 	drawn := draw(p.Random, unknown, explored)
 	drawn = append(drawn, draw(p.Random, unconnected, explored-len(drawn))...)
-	return append(drawn, draw(p.Random, connected, localFanout-len(drawn))...)
+	return append(drawn, draw(p.Random, connected, fanout-len(drawn))...)
 }
 
 // draw returns up to limit random elements of from. It reorders from.
--- a/internal/standin/ablator/mechanisms.go
+++ b/internal/standin/ablator/mechanisms.go
@@ -23,6 +23,7 @@
 	placerFile     = "internal/request/placer/placer.go"
 	stepFile       = "internal/request/placer/step.go"
 	targetFile     = "internal/request/placer/target.go"
+	fanoutFile     = "internal/request/placer/fanout.go"
 	preferenceFile = "internal/request/placer/preference.go"
 	rejectFile     = "internal/request/placer/reject.go"
 	rationerFile   = "internal/request/rationer/rationer.go"
@@ -42,6 +43,9 @@
 	{"explore", "new targets beside connected ones", []mutator.Edit{{
 		File: placerFile, Text: "exploreShare = 0.25", By: "exploreShare = 0.0",
 	}}},
+	{"fanout", "services most of whose targets are free", []mutator.Edit{{
+		File: fanoutFile, Text: "shortRounds = 2\n", By: "shortRounds = 0\n",
+	}}},
 	{"immediate", "targets whose report arrives late", []mutator.Edit{{
 		File: placerFile, Text: "immediateSlowdown = 1.2", By: "immediateSlowdown = 0.0",
 	}}},
