--- a/internal/process/composer/capacity.go
+++ b/internal/process/composer/capacity.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"syscall"
 	"time"
 
@@ -9,6 +11,7 @@
 	"oriolecourse.example/oriolecourse/internal/connection/framer"
 	"oriolecourse.example/oriolecourse/internal/process/assessor"
 	"oriolecourse.example/oriolecourse/internal/process/detector"
+	"oriolecourse.example/oriolecourse/internal/process/director"
 	"oriolecourse.example/oriolecourse/internal/process/relayer"
 )
 
@@ -31,6 +34,9 @@
 	}
 	i.fleet.Record(assessor.Incarnation{Peer: i.self.Peer, Number: i.incarnation}, told(i.facts), now)
 	i.relayer.SetFacts(i.facts)
+	members := append(slices.Clone(i.relayer.Members()), i.relayer.Self())
+	members = slices.DeleteFunc(members, func(m detector.Member) bool { return m.State == detector.Ended })
+	i.weight.Store(math.Float64bits(director.Relative(i.weigh(members), len(members)-1)))
 }
 
 // processorTime returns the processor time of the process, or 0 if the kernel does not
--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -166,6 +167,9 @@
 	// assessor measures this instance, fleet holds what all instances tell of themselves.
 	assessor *assessor.Assessor
 	fleet    assessor.Fleet
+	// weight holds the weight of this instance relative to the mean of all, as the bits of a
+	// float64.
+	weight atomic.Uint64
 	// requests counts the requests of clients that have ended.
 	requests atomic.Uint64
 	// facts is what this instance tells, last changed at toldAt. Only maintain uses them.
@@ -186,6 +190,7 @@
 		Alone: !slices.ContainsFunc(o.Seeds, func(a netip.AddrPort) bool { return a != o.Peer }),
 	})
 	i.loggedSharers = 1
+	i.weight.Store(math.Float64bits(1))
 	i.incarnation = rand.Uint64() | 1
 	i.assessor = &assessor.Assessor{Resources: o.Resources}
 	i.facts = relayer.Facts{Cores: o.Resources.Cores, LinkRate: o.Resources.Link, Ease: 1}
@@ -199,7 +204,7 @@
 	i.forwarder = forwarder.New(forwarder.Options{
 		Dialect: o.Dialect, Zone: o.Zone, LocalAddress: o.TargetsFrom, Budget: o.Budget, FirstStart: o.FirstStart,
 		Memory: reserver.New(share(aheadMemoryShare), i.memory),
-		Table:  i.tables.Current, FleetSize: i.fleetSize,
+		Table:  i.tables.Current, FleetSize: i.fleetSize, Weight: func() float64 { return math.Float64frombits(i.weight.Load()) },
 		SpreadRumor: i.spreadRumor, OnTargetReplaced: i.targetReplaced,
 		OnTargetLeaving: i.targetLeaving, OnTargetWarmup: i.targetWarmup, CanSearch: i.canSearch, Search: i.search,
 		LimitOwner: i.limitOwner, AskPermit: i.askPermit, SpreadLimit: i.spreadLimit,
--- a/internal/process/director/weight.go
+++ b/internal/process/director/weight.go
@@ -26,6 +26,16 @@
 	return all
 }
 
+// Relative returns the weight of one of the members relative to the mean of all: 1 if they are
+// even. What the fleet may use of something adds up if each uses that many equal shares.
+func Relative(weights []float64, member int) float64 {
+	all := uneven(weights)
+	if all == nil {
+		return 1
+	}
+	return all[member] * float64(len(all)) / sum(all)
+}
+
 // steps is the resolution of random fractions.
 const steps = 1 << 30
 
--- a/internal/process/director/weight_test.go
+++ b/internal/process/director/weight_test.go
@@ -146,3 +146,26 @@
 	expected := 5 * strong / (5*strong + float64(len(local)) - strong)
 	require.InEpsilon(t, expected, float64(first[5])/requests, 0.1)
 }
+
+// Guards against shares of the probes that do not follow the callers, and against ones that
+// add up to more than the fleet may use.
+func TestRelativeWeightsAddUp(t *testing.T) {
+	members, byAddress := unevenFleet(98)
+	weights := make([]float64, len(members))
+	for k, m := range members {
+		weights[k] = byAddress[m.Instance.Address]
+	}
+	total := 0.0
+	for k, m := range members {
+		r := Relative(weights, k)
+		total += r
+		if byAddress[m.Instance.Address] == 5 {
+			require.Greater(t, r, 3.5)
+		} else {
+			require.Less(t, r, 1.0, "also one that tells nothing")
+		}
+	}
+	require.InDelta(t, len(members), total, 1e-9)
+	require.Equal(t, 1.0, Relative(make([]float64, 98), 7), "nobody tells anything")
+	require.Equal(t, 1.0, Relative([]float64{2, 2, 0}, 2), "all that tell are alike")
+}
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -85,6 +85,9 @@
 	// the known ones: with smaller shares right after a start of all, requests are placed
 	// badly for many seconds.
 	FleetSize func(now time.Time) sizer.Size
+	// Weight returns how many times an equal share of the fleet's probes this instance uses,
+	// as it is named to callers that many times as often. If it is nil, that is 1.
+	Weight func() float64
 	// SpreadRumor sends the other instances a rumor about a request that may crash
 	// targets. The rumor says either that a target did not complete its response to
 	// the request, which makes the request a suspect, or that a suspect got a complete
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -86,6 +86,9 @@
 // caller of these holds s.mutex.
 func (s *service) allowProbes(n int, now time.Time) int {
 	rate := s.forwarder.budget.Load().ProbeRate * float64(s.targetCount)
+	if weight := s.forwarder.options.Weight; weight != nil {
+		rate *= weight()
+	}
 	granted := s.probes.Take(n, rate, s.forwarder.options.FleetSize(now).Known, now)
 	if granted < n {
 		s.forwarder.counters.probesWithheld.Inc(int64(n - granted))
