--- a/internal/process/meter/metrics.go
+++ b/internal/process/meter/metrics.go
@@ -75,7 +75,7 @@
 // Print writes the reference page of the metrics.
 func Print(w io.Writer) error {
 	b := &strings.Builder{}
-	b.WriteString("# Metrics\n\nPrinted by `oriolecourse counters` from the table in the code. The page `/metrics` has\nthem in the Prometheus text format, each with `oriolecourse_` before its name, and\n`/metrics/runtime` those of the Go runtime.\n\n")
+	b.WriteString("# Metrics\n\nPrinted by `oriolecourse counters` from the table in the code. The page `/metrics` has\nthem in the Prometheus text format, each with `oriolecourse_` before its name, and\n`/metrics/runtime` those of the Go runtime. `/debug/pprof/` beside them serves profiles.\n\n")
 	b.WriteString("| name | tags | meaning |\n| --- | --- | --- |\n")
 	for _, m := range Metrics {
 		b.WriteString("| `" + m.Name + "` | " + strings.Join(m.Tags, ", ") + " | " + m.Description + " |\n")
