--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -198,7 +198,7 @@
 // Submit adds a request. Step decides about it.
 func (p *Placer) Submit(t *Ticket) {
 	if !t.Hedge && len(t.Avoid) == 0 {
-		t.Returned, t.returned = p.rationer.Arrive(t.Kind, t.Patience, t.Arrived)
+		t.Returned, t.returnsLate = p.rationer.Arrive(t.Kind, t.Patience, t.Arrived)
 	}
 	p.waiting = append(p.waiting, t)
 }
--- a/internal/request/placer/ticket.go
+++ b/internal/request/placer/ticket.go
@@ -35,8 +35,8 @@
 
 	// rounds counts the rounds of probes since the request arrived.
 	rounds int
-	// returned means that the client returns with much less time than others have.
-	returned bool
+	// returnsLate means that the client returns with much less time than others have.
+	returnsLate bool
 	// deferred means that the request has left a free slot to others.
 	deferred bool
 	// slowdown is the target's slowdown at the time of the grant; 0 means not granted.
--- a/internal/request/rationer/rationer.go
+++ b/internal/request/rationer/rationer.go
@@ -76,8 +76,9 @@
 	LatestStart time.Time
 	// LastStart is the last moment at which a start meets the deadline.
 	LastStart time.Time
-	// Returned means that the client probably returns after a rejection (see Arrive).
-	Returned bool
+	// ReturnsLate means that the client probably returns after a rejection, with much less time
+	// than others have (see Arrive).
+	ReturnsLate bool
 }
 
 // Rationer divides the room of one service. It is not safe for concurrent use.
@@ -110,7 +111,7 @@
 // Arrive records the arrival of a request that its client waits for as long as patience.
 // It reports whether the client probably returns after a rejection, by the time that it has
 // left: less than the clients of the kind usually have, and much less than others have.
-func (r *Rationer) Arrive(kind string, patience time.Duration, now time.Time) (returned, late bool) {
+func (r *Rationer) Arrive(kind string, patience time.Duration, now time.Time) (returned, returnsLate bool) {
 	u := r.kinds[kind]
 	if u == nil {
 		u = &usage{longestSince: now}
@@ -166,7 +167,7 @@
 
 // Standing returns the standing of a waiting request.
 func (r *Rationer) Standing(q Request, now time.Time) Standing {
-	late := now.After(q.LatestStart) || q.Returned && r.short(q.Priority, now)
+	late := now.After(q.LatestStart) || q.ReturnsLate && r.short(q.Priority, now)
 	switch {
 	case !late && !r.short(q.Priority-1, now), r.starves(q.Kind, now):
 		return Entitled
--- a/internal/request/rationer/rationer_test.go
+++ b/internal/request/rationer/rationer_test.go
@@ -54,7 +54,7 @@
 	require.False(t, isLate(3*time.Second, epoch), "deadlines differ a little")
 	require.True(t, isLate(1400*time.Millisecond, epoch))
 	returned := request("read", 2, epoch.Add(time.Hour))
-	returned.Returned = true
+	returned.ReturnsLate = true
 	require.Equal(t, Entitled, r.Standing(returned, epoch))
 	r.Wait(request("read", 2, epoch.Add(-time.Second)), epoch)
 	require.Equal(t, Late, r.Standing(returned, epoch))
