--- a/internal/request/placer/doc.go
+++ b/internal/request/placer/doc.go
@@ -40,6 +40,15 @@
 // load. If no instance there can be asked, the placer probes the targets of the zone
 // itself.
 //
+// The first two rounds of a request probe the fewest local targets of which one is free with
+// a probability of sureShare, by what the last probes have shown; the next round begins as
+// soon as all of these have reported. This answers the load at which most slots are free and
+// processor time is scarce, on small instances, while targets are slow by turns. Later rounds
+// probe more targets, for the load at which free slots are rare.
+//
+// A burst makes many requests wait while a report arrives each millisecond. What is the same
+// for all of them is found once a step (candidates).
+//
 // In a burst, the probes that an instance may send are used up within a second. Requests
 // then wait for a newer report rather than start by an old one, whose slot another
 // instance has taken since.
--- a/internal/request/rationer/doc.go
+++ b/internal/request/rationer/doc.go
@@ -18,8 +18,9 @@
 // messages pass for this between instances, and an instance that sees no other keeps to it.
 //
 // A client that returns after a rejection counts its objective from its first attempt.
-// Its request is known by a deadline that is much shorter than that of other clients, and
-// is late while its kind is short of room. Otherwise each rejected request would come
+// Its request is known by a deadline that is shorter than the one that most clients of the
+// kind send. If it is much shorter than the longest, the request is late while its kind is
+// short of room. Otherwise each rejected request would come
 // back as a fresh one.
 //
 // Nothing is starved. A kind may take any free slot while the share of its requests that
