--- a/internal/request/placer/fanout_test.go
+++ b/internal/request/placer/fanout_test.go
@@ -78,3 +78,22 @@
 	}
 	require.Empty(t, f.Step(f.now).Probes, "another round at once")
 }
+
+// Guards against a zone with as few targets as a short round probes: when all of them have
+// reported to be busy, a round at once would find nobody to ask and use up the rounds that
+// lead to other zones.
+func TestRoundOfAllTargetsIsNotShort(t *testing.T) {
+	f := newFixture(t, minFanout, 3)
+	f.hitShare = 1
+	a := f.submit(f.ticket())
+	require.Len(t, a.Probes, minFanout)
+	f.advance(2 * time.Millisecond)
+	for _, q := range a.Probes {
+		f.report(q.ID, 2, 1)
+	}
+	waiting := f.waiting[0]
+	f.Step(f.now)
+	require.Equal(t, 1, waiting.rounds)
+	f.advance(probeInterval).Step(f.now)
+	require.Equal(t, 2, waiting.rounds)
+}
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -129,7 +129,8 @@
 	lastRound time.Time
 	// probesDenied means that AllowProbes granted no probe in the last round.
 	probesDenied bool
-	// isShort means that the last round probed fewer than localFanout local targets.
+	// isShort means that the last round probed fewer than localFanout local targets although
+	// there were more.
 	isShort bool
 	// hitShare is the moving average of the share of the probes whose report lets a request
 	// start.
--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -189,7 +189,7 @@
 	}
 	a.Probes = p.probe(targets, now)
 	p.probesDenied = len(a.Probes) == 0 && len(targets) > 0
-	p.isShort = fanout < localFanout && len(a.Probes) > 0
+	p.isShort = fanout < min(localFanout, len(local)) && len(a.Probes) > 0
 	p.lastRound = now
 	for _, w := range p.waiting {
 		w.rounds++
