--- a/internal/process/forwarder/forwarder_test.go
+++ b/internal/process/forwarder/forwarder_test.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"oriolecourse.example/oriolecourse/internal/process/sizer"
+	"oriolecourse.example/oriolecourse/internal/request/placer"
 )
 
 // TestRetryBudgetsArePerService guards against a budget that all services share. While
@@ -69,3 +70,28 @@
 	}
 	require.InDelta(t, 18, granted, 1)
 }
+
+// Guards against a client that is told to return although its service lacks room: it would find
+// no more of it then. While nothing waits, most retries are kept for those that have returned.
+func TestShedRequestsGetTheirRetriesWhileOthersWait(t *testing.T) {
+	f := New(Options{
+		Budget:    Budget{RetryRatio: 0.2, RetryWindow: 10 * time.Second},
+		FleetSize: fixedSize(1), Logger: log.NewNopLogger(), Scope: tally.NoopScope,
+	})
+	now := f.started.Add(time.Minute)
+	s := f.service("parts")
+	for range 100 {
+		s.countRequest(1, now)
+	}
+	s.countReturn(now)
+	granted := 0
+	for s.takeRetryAfterShed(1, false, now) {
+		granted++
+	}
+	require.InDelta(t, 0.2*18, granted, 1, "a fifth of the budget")
+	s.placer.Submit(&placer.Ticket{Kind: "look", Arrived: now, Deadline: now.Add(time.Second)})
+	for s.takeRetryAfterShed(1, false, now) {
+		granted++
+	}
+	require.InDelta(t, 18, granted, 1, "all of it")
+}
