--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -21,8 +21,10 @@
 // kind is a kind of request.
 type kind struct {
 	name, method, prefix string
-	deadline             time.Duration
-	body                 int
+	// path is the whole path, if it is the same for all.
+	path     string
+	deadline time.Duration
+	body     int
 	// fresh means a new connection for each request.
 	fresh bool
 }
@@ -60,13 +62,15 @@
 	net.Conn
 	reader *bufio.Reader
 	used   bool
+	// idleSince is when the last answer was read.
+	idleSince time.Time
 }
 
 func newClients(s *site, zone string, ids *atomic.Int64, check func(k kind, a answer)) *clients {
 	return &clients{site: s, zone: zone, lastID: ids, check: check, conns: map[string][]*clientConn{}}
 }
 
-// resolve asks a directory for addresses every two seconds until the context ends.
+// resolve asks a directory for addresses again when the last response has expired, until the context ends.
 func (c *clients) resolve(ctx context.Context) {
 	client := standin.Client(time.Second)
 	for ctx.Err() == nil {
@@ -90,7 +94,7 @@
 			}
 		}
 		select {
-		case <-time.After(2 * time.Second):
+		case <-time.After(time.Duration(1+rand.Intn(1000))*time.Millisecond + 3*time.Second):
 		case <-ctx.Done():
 		}
 	}
@@ -110,6 +114,9 @@
 	}
 }
 
+// maxIdle is how long a connection may have been idle to be used again, four fifths of the limit.
+const maxIdle = 12 * time.Second
+
 // take returns a kept connection, or a new one.
 func (c *clients) take(fresh bool) (*clientConn, string, error) {
 	c.mutex.Lock()
@@ -118,7 +125,7 @@
 		return nil, "", fmt.Errorf("no address is known")
 	}
 	address := c.addresses[rand.Intn(len(c.addresses))]
-	if kept := c.conns[address]; len(kept) > 0 && !fresh {
+	if kept := c.conns[address]; len(kept) > 0 && !fresh && time.Since(kept[len(kept)-1].idleSince) < maxIdle {
 		conn := kept[len(kept)-1]
 		c.conns[address] = kept[:len(kept)-1]
 		c.mutex.Unlock()
@@ -166,12 +173,12 @@
 		return
 	}
 	a.kept = conn.used
-	body := strings.Repeat("b", k.body)
-	text := fmt.Sprintf("%s %s%s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n", k.method, k.prefix, a.id, host, a.id, k.deadline.Milliseconds())
+	body, path := strings.Repeat("b", k.body), k.prefix+a.id
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n", k.method, path, host, a.id, k.deadline.Milliseconds())
 	if k.method == http.MethodPost {
 		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
-	c.site.record.add("client %s sends %s %s%s to %s", a.id, k.method, k.prefix, a.id, address)
+	c.site.record.add("client %s sends %s %s to %s", a.id, k.method, path, address)
 	_ = conn.SetDeadline(time.Now().Add(k.deadline))
 	if _, a.err = io.WriteString(conn, text+"\r\n"+body); a.err != nil {
 		conn.Close()
@@ -186,7 +193,7 @@
 	}
 	content, err := io.ReadAll(r.Body)
 	a.status, a.header, a.body, a.err = r.StatusCode, r.Header, string(content), err
-	conn.used = true
+	conn.used, conn.idleSince = true, time.Now()
 	if err != nil || r.Close || k.fresh {
 		conn.Close()
 		return
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -98,11 +98,16 @@
 		return err
 	}
 	s.upstreams = append(s.upstreams, u)
+	s.writeEntry(u, time.Now().UnixMilli())
+	return nil
+}
+
+// writeEntry writes the entry of an upstream that is ready.
+func (s *site) writeEntry(u *upstream, born int64) {
 	s.store.PutJSON("servers/"+u.id, map[string]any{
 		"service": u.service, "address": u.address, "zone": u.zone, "version": "v1", "slots": u.slots,
-		"state": "ready", "warmupLeft": "0ms", "sequence": 1, "born": time.Now().UnixMilli(),
+		"state": "ready", "warmupLeft": "0ms", "sequence": 1, "born": born,
 	})
-	return nil
 }
 
 // instance is a process of the system.
@@ -116,6 +121,8 @@
 	command *exec.Cmd
 	ended   chan struct{}
 	peakMiB int
+	// asked is when the process was last asked to stop.
+	asked time.Time
 }
 
 func (i *instance) front() string     { return fmt.Sprintf("%s:%d", i.ip, i.ports[0]) }
@@ -321,3 +328,29 @@
 	}
 	s.server.Close()
 }
+
+// lastSignal returns when the process was last asked to stop, or zero.
+func (i *instance) lastSignal() time.Time {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.asked
+}
+
+// restart stops the process with SIGTERM, kills it after the grace period if it still runs, and
+// starts it again, as the platform does.
+func (i *instance) restart() {
+	i.mutex.Lock()
+	ended := i.ended
+	i.asked = time.Now()
+	i.mutex.Unlock()
+	i.signal(syscall.SIGTERM)
+	select {
+	case <-ended:
+	case <-time.After(grace):
+		i.signal(syscall.SIGKILL)
+		<-ended
+	}
+	if err := i.start(); err != nil {
+		i.site.record.add("%s: %v", i.name, err)
+	}
+}
--- a/review/rig/upstream.go
+++ b/review/rig/upstream.go
@@ -193,7 +193,7 @@
 		return u.encode(503, id, http.Header{"Not-Executed": {"1"}, "Upstream-Load": {u.load()}}, nil), sound
 	}
 	u.record.ran(run{id: id, upstream: u.id, service: u.service, method: q.Method, path: q.RequestURI, body: string(q.body), at: time.Now()})
-	ended := u.run(ctx)
+	ended := u.run(ctx, q)
 	if u.trouble != nil {
 		f = u.trouble(false)
 	}
@@ -244,10 +244,15 @@
 	u.changed = make(chan struct{})
 }
 
-// run works on a request, and reports whether it has come to its end.
-func (u *upstream) run(ctx context.Context) bool {
+// run works on a request, and reports whether it has come to its end. The parameter work of the
+// path sets how long the work takes.
+func (u *upstream) run(ctx context.Context, q received) bool {
+	work := time.Duration((0.7 + 0.6*rand.Float64()) * float64(u.work))
+	if d, err := time.ParseDuration(q.URL.Query().Get("work")); err == nil {
+		work = d
+	}
 	select {
-	case <-time.After(time.Duration((0.7 + 0.6*rand.Float64()) * float64(u.work))):
+	case <-time.After(work):
 		return true
 	case <-ctx.Done():
 		return false
