--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -99,12 +99,14 @@
 	bodies   *reserver.Reserver
 	draining atomic.Bool
 	// written counts the bytes that were written to clients.
-	written  atomic.Uint64
-	mutex    sync.Mutex
-	conns    map[*conn]struct{}
-	group    sync.WaitGroup
-	done     chan struct{}
-	stopOnce sync.Once
+	written atomic.Uint64
+	mutex   sync.Mutex
+	conns   map[*conn]struct{}
+	// readingEnded means that no further request is read.
+	readingEnded bool
+	group        sync.WaitGroup
+	done         chan struct{}
+	stopOnce     sync.Once
 }
 
 // Prepare initializes the acceptor. Run and Stop may then be called in any order.
@@ -150,12 +152,16 @@
 // followed by a pending request.
 func (a *Acceptor) StartDraining() { a.draining.Store(true) }
 
-// CloseIdle closes the connections without a pending request.
-func (a *Acceptor) CloseIdle() {
+// StopReading ends the reading of requests. Connections without a pending request close;
+// the others close after their last response, which says so, as its client may send what was
+// not read elsewhere. A request that has begun to arrive is read to its end. Connections
+// that are accepted later close unread.
+func (a *Acceptor) StopReading() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	a.readingEnded = true
 	for c := range a.conns {
-		c.closeIfIdle()
+		c.stopReading()
 	}
 }
 
@@ -195,6 +201,9 @@
 func (a *Acceptor) add(c *conn) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	if a.readingEnded {
+		return false
+	}
 	select {
 	case <-a.done:
 		return false
--- a/internal/connection/acceptor/acceptor_test.go
+++ b/internal/connection/acceptor/acceptor_test.go
@@ -265,11 +265,91 @@
 	_, r := dial(t, address)
 	require.Eventually(t, func() bool { return a.OpenConnections() == 1 }, 5*time.Second, time.Millisecond)
 	a.StartDraining()
-	a.CloseIdle()
+	a.StopReading()
 	_, err := r.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// TestNothingIsReadAfterStopReading guards against a request that is read late in a stop: it
+// arrives behind one that still runs, is passed on, and its connection closes in the midst of
+// it. A request that is not read may be sent elsewhere, which the last response tells.
+func TestNothingIsReadAfterStopReading(t *testing.T) {
+	for name, pending := range map[string]int{"behind one request": 1, "behind several requests": 3} {
+		t.Run(name, func(t *testing.T) {
+			released, handled := map[string]chan struct{}{}, atomic.Int32{}
+			for k := range pending {
+				released[fmt.Sprintf("/%d", k)] = make(chan struct{})
+			}
+			a, address := startAcceptor(t, func(ctx context.Context, q *Request) *Response {
+				handled.Add(1)
+				if c := released[q.RequestURI]; c != nil {
+					<-c
+				}
+				return echo(ctx, q)
+			})
+			c, r := dial(t, address)
+			for k := range pending {
+				write(t, c, fmt.Sprintf("GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", k))
+			}
+			require.Eventually(t, func() bool { return int(handled.Load()) == pending }, 5*time.Second, time.Millisecond)
+			a.StartDraining()
+			a.StopReading()
+			write(t, c, "GET /late HTTP/1.1\r\nHost: h\r\n\r\nPOST /late HTTP/1.1\r\nHost: h\r\nContent-Le")
+			// Time in which an acceptor that reads on would begin the late request.
+			time.Sleep(100 * time.Millisecond)
+			for k := range pending {
+				close(released[fmt.Sprintf("/%d", k)])
+				response, body := readResponse(t, r)
+				require.Equal(t, fmt.Sprintf("GET /%d ", k), body)
+				require.Equal(t, k == pending-1, response.Close)
+				write(t, c, "GET /late HTTP/1.1\r\nHost: h\r\n\r\n")
+				time.Sleep(20 * time.Millisecond)
+			}
+			_, err := r.ReadByte()
+			require.ErrorIs(t, err, io.EOF, "the connection is reset, which may destroy the last response")
+			require.EqualValues(t, pending, handled.Load())
+		})
+	}
+}
+
+// TestRequestThatHasBegunIsReadAfterStopReading guards against a request that loses its
+// connection without a response because its head came before the end of reading and the rest
+// after it.
+func TestRequestThatHasBegunIsReadAfterStopReading(t *testing.T) {
+	const text = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello"
+	for _, read := range []int{1, 20, len(text) - 5, len(text) - 1} {
+		a, address := startAcceptor(t, echo)
+		c, r := dial(t, address)
+		write(t, c, text[:read])
+		require.Eventually(t, func() bool { return a.PendingRequests() == 1 }, 5*time.Second, time.Millisecond)
+		a.StartDraining()
+		a.StopReading()
+		write(t, c, text[read:]+"GET /late HTTP/1.1\r\nHost: h\r\n\r\n")
+		response, body := readResponse(t, r)
+		require.Equal(t, "POST /a hello", body)
+		require.True(t, response.Close)
+		_, err := r.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+	}
+}
+
+// TestConnectionAcceptedAfterStopReadingIsNotRead guards against requests of a connection that
+// was accepted while reading was ended.
+func TestConnectionAcceptedAfterStopReadingIsNotRead(t *testing.T) {
+	handled := atomic.Int32{}
+	a, address := startAcceptor(t, func(ctx context.Context, q *Request) *Response {
+		handled.Add(1)
+		return echo(ctx, q)
+	})
+	a.StopReading()
+	c, r := dial(t, address)
+	// The connection may be closed already.
+	_, _ = io.WriteString(c, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+	_, err := r.ReadByte()
+	require.Error(t, err)
+	require.Zero(t, handled.Load())
+}
+
 // TestIdleTimeoutClosesConnection guards against connections that stay open without
 // requests.
 func TestIdleTimeoutClosesConnection(t *testing.T) {
--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -293,14 +293,12 @@
 	return c.closing
 }
 
-// closeIfIdle closes the connection if no request is pending.
-func (c *conn) closeIfIdle() {
+// stopReading lets the connection close after the requests that have begun to arrive.
+func (c *conn) stopReading() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.pending == 0 {
-		c.closing = true
-		c.setReadDeadline()
-	}
+	c.closing = true
+	c.setReadDeadline()
 }
 
 func (c *conn) pendingRequests() int {
--- a/internal/process/forwarder/execution.go
+++ b/internal/process/forwarder/execution.go
@@ -138,9 +138,7 @@
 	switch {
 	case d.rejection != nil:
 		e.rejection = d.rejection
-		e.forwarder.counters.countRejection(e.service.name, d.rejection.Reason.String())
-		_ = level.Info(e.logger).Log("msg", "not placed", "service", e.service.name, "reason", d.rejection.Reason,
-			"extra", d.rejection.Ticket.Hedge, "waited", time.Since(e.Arrived), "return", d.rejection.RetryAfter)
+		e.recordRejection(d.rejection)
 	case d.grant != nil && e.ctx.Err() != nil:
 		e.service.end(d.grant, placer.Canceled, nil, time.Now())
 	case d.grant != nil:
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -144,6 +144,8 @@
 	servicesByAddress atomic.Pointer[map[netip.AddrPort]*service]
 	// cutOff means that the instance is cut off from the targets of all services.
 	cutOff atomic.Bool
+	// refusing means that the instance stops and that no further request is begun.
+	refusing atomic.Bool
 	// sentByZone holds the number of requests in progress at the targets of each
 	// availability zone, an *atomic.Int64 by the zone's name.
 	sentByZone sync.Map
@@ -209,6 +211,10 @@
 // to a request, or that a suspect request was cleared.
 func (f *Forwarder) ReceiveRumor(r quarantiner.Rumor, now time.Time) { f.quarantiner.Receive(r, now) }
 
+// RefuseRequests ends the acceptance of requests because the instance stops. Those that have
+// begun go on.
+func (f *Forwarder) RefuseRequests() { f.refusing.Store(true) }
+
 // CloseIdleConnections closes target connections that have been idle for too long.
 func (f *Forwarder) CloseIdleConnections(now time.Time) { f.exchanger.CloseExpired(now) }
 
--- a/internal/process/forwarder/request.go
+++ b/internal/process/forwarder/request.go
@@ -59,6 +59,9 @@
 	// notReadyRetryAfter is the time after which a client may retry at an instance
 	// that has just started. The settings usually arrive within this time.
 	notReadyRetryAfter = 200 * time.Millisecond
+	// stoppingRetryAfter is the time after which a client may retry whose request a stopping
+	// instance has rejected. Another instance can serve it at once.
+	stoppingRetryAfter = 20 * time.Millisecond
 )
 
 // request is a client request in progress.
@@ -121,6 +124,9 @@
 		deadline: now.Add(min(timeout, route.Timeout)), patience: timeout, logger: logger,
 	}
 	r.fingerprint = quarantiner.Sum("", r.service.name, route.Name, q.Method, q.RequestURI, q.Body)
+	if f.refusing.Load() {
+		return r.refuse()
+	}
 	response, o := (*acceptor.Response)(nil), unreached
 	if !r.service.relays() {
 		r.service.countRequest(route.Priority, now)
@@ -138,6 +144,23 @@
 	return f.finish(logger, r.service.name, o, now, response)
 }
 
+// refuse returns the response to a request that a stopping instance does not begin. Another
+// instance that has relayed it tries the next one.
+func (r *request) refuse() *acceptor.Response {
+	if r.isRelayed {
+		return r.forwarder.finish(r.logger, r.service.name, unreached, r.Arrived, notTaken())
+	}
+	r.recordRejection(&placer.Rejection{Ticket: r.ticket(false, nil), RetryAfter: stoppingRetryAfter, Reason: placer.Stopping})
+	return r.forwarder.finish(r.logger, r.service.name, rejected, r.Arrived, r.forwarder.rejection(stoppingRetryAfter))
+}
+
+// recordRejection counts and logs that no target was chosen.
+func (r *request) recordRejection(j *placer.Rejection) {
+	r.forwarder.counters.countRejection(r.service.name, j.Reason.String())
+	_ = level.Info(r.logger).Log("msg", "not placed", "service", r.service.name, "reason", j.Reason,
+		"extra", j.Ticket.Hedge, "waited", time.Since(r.Arrived), "return", j.RetryAfter)
+}
+
 // clientTimeout returns the time for which the client waits. It is the route's
 // timeout if the request names none.
 func (f *Forwarder) clientTimeout(q *acceptor.Request, route *router.Route) (time.Duration, error) {
--- a/internal/request/placer/ticket.go
+++ b/internal/request/placer/ticket.go
@@ -85,11 +85,13 @@
 	Limited
 	// CutOff means that this instance can reach no target.
 	CutOff
+	// Stopping means that this instance stops.
+	Stopping
 )
 
 // String returns the name of the reason in logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"targetless", "overdue", "crowded", "roomless", "limited", "cut"}[r]
+	return [...]string{"targetless", "overdue", "crowded", "roomless", "limited", "cut", "stopping"}[r]
 }
 
 // Actions holds what the caller of Step has to do.
--- a/internal/standin/mutator/variants_test.go
+++ b/internal/standin/mutator/variants_test.go
@@ -76,9 +76,9 @@
 		"internal/version/router/splitter.go", "	credit[best] -= total\n", "	credit[best] -= total - 1\n",
 	}}},
 	{"TestShutdownDropsNoRequest", "platform", []Edit{{
-		"internal/process/composer/shutdown.go", "	time.Sleep(share(acceptShare))\n", "",
+		"internal/process/composer/shutdown.go", "	time.Sleep(acceptTime(i.options.Grace))\n", "",
 	}, {
-		"internal/process/composer/shutdown.go", "for i.acceptor.PendingRequests()+i.relayer.Executing() > 0 && time.Now().Before(drainDeadline) {", "for false && time.Now().Before(drainDeadline) {",
+		"internal/process/composer/shutdown.go", "	awaitUntil(drainDeadline, func() bool { return i.acceptor.PendingRequests()+i.relayer.Executing() == 0 })\n", "",
 	}}},
 	{"TestNothingIsSmuggled", "internal/connection/acceptor", []Edit{{
 		"internal/connection/acceptor/conn.go", "	h, err := parseHead(head)\n", "	h, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))\n",
@@ -95,9 +95,9 @@
 		"internal/process/journaler/journaler.go", "	select {\n	case j.lines <- line:\n	default:\n		j.omit(b)\n	}\n", "	j.lines <- line\n",
 	}}},
 	{"TestLogsAndMetricsShowFailureCauses", "platform", []Edit{{
-		"internal/process/forwarder/execution.go", `"waited", time.Since(e.Arrived), "return", d.rejection.RetryAfter)`, `"return", d.rejection.RetryAfter)`,
+		"internal/process/forwarder/request.go", `"waited", time.Since(r.Arrived), "return", j.RetryAfter)`, `"return", j.RetryAfter)`,
 	}, {
-		"internal/process/forwarder/execution.go", `"reason", d.rejection.Reason,`, "",
+		"internal/process/forwarder/request.go", `"reason", j.Reason,`, "",
 	}}},
 	{"TestUsesTargetsOfARemoteZone", "platform", []Edit{{
 		"internal/process/composer/composer.go", "		OfferTargets: i.offerTargets,\n", "",
