acceptor: a client that leaves after its last request is noticed (GONE)

Callers saw: nothing. Targets worked on for clients that had left a connection which closes after its last request, as in each stop.

Cause: the end of an earlier response set the read deadline of a closing connection into the past, which ended the reading that notices the client's leaving and discards its input. Unread bytes also reset the connection when it closes.

Change: the deadline stays as it is while input is discarded.

--- a/internal/connection/acceptor/acceptor_test.go
+++ b/internal/connection/acceptor/acceptor_test.go
@@ -350,6 +350,44 @@
 	require.Zero(t, handled.Load())
 }
 
+// TestClientThatLeavesAfterTheLastRequestCancelsIt guards against a connection that is no longer
+// read once an earlier response was written: a client that leaves is not noticed, and its last
+// request runs on for nobody. What the client sends meanwhile stays unread, so that closing the
+// connection resets it.
+func TestClientThatLeavesAfterTheLastRequestCancelsIt(t *testing.T) {
+	release, canceled, ended := make(chan struct{}, 1), make(chan struct{}), make(chan struct{})
+	handled := atomic.Int32{}
+	a, address := startAcceptor(t, func(ctx context.Context, q *Request) *Response {
+		handled.Add(1)
+		if q.RequestURI == "/first" {
+			<-release
+			return echo(ctx, q)
+		}
+		select {
+		case <-ctx.Done():
+			close(canceled)
+		case <-ended:
+		}
+		return echo(ctx, q)
+	})
+	t.Cleanup(func() { close(ended) })
+	c, r := dial(t, address)
+	write(t, c, "GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /last HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.Eventually(t, func() bool { return handled.Load() == 2 }, 5*time.Second, time.Millisecond)
+	a.StopReading()
+	// Time in which the acceptor notices that it reads no further request.
+	time.Sleep(50 * time.Millisecond)
+	release <- struct{}{}
+	readResponse(t, r)
+	require.Eventually(t, func() bool { return a.PendingRequests() == 1 }, 5*time.Second, time.Millisecond)
+	require.NoError(t, c.Close())
+	select {
+	case <-canceled:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the request continues after its client closed the connection")
+	}
+}
+
 // TestIdleTimeoutClosesConnection guards against connections that stay open without
 // requests.
 func TestIdleTimeoutClosesConnection(t *testing.T) {
--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -45,6 +45,9 @@
 	reading bool
 	// closing means that no further request is read.
 	closing bool
+	// discarding means that further input is read to be discarded, which the end of a
+	// response must not stop.
+	discarding bool
 }
 
 func newConn(a *Acceptor, socket net.Conn) *conn {
@@ -89,7 +92,10 @@
 // discardInput reads until the client closes the connection, which cancels the
 // pending requests, or until the read deadline expires.
 func (c *conn) discardInput(cancel context.CancelFunc) {
+	c.mutex.Lock()
+	c.discarding = true
 	_ = c.socket.SetReadDeadline(time.Time{})
+	c.mutex.Unlock()
 	if _, err := io.Copy(io.Discard, c.socket); !isTimeout(err) {
 		cancel()
 	}
@@ -252,7 +258,7 @@
 // otherwise the idle timeout.
 func (c *conn) setReadDeadline() {
 	switch {
-	case c.reading:
+	case c.reading, c.discarding:
 	case c.closing:
 		_ = c.socket.SetReadDeadline(time.Unix(1, 0))
 	case c.pending > 0:
