Broken variants: a stop that waits for nothing, also not for clients to close

The variant of TestShutdownDropsNoRequest passed: its requests of 0.3 s ended while the stop waited for the clients' connections.

--- a/internal/standin/mutator/variants_test.go
+++ b/internal/standin/mutator/variants_test.go
@@ -79,6 +79,8 @@
 		"internal/process/composer/shutdown.go", "	time.Sleep(acceptTime(i.options.Grace))\n", "",
 	}, {
 		"internal/process/composer/shutdown.go", "	awaitUntil(drainDeadline, func() bool { return i.acceptor.PendingRequests()+i.relayer.Executing() == 0 })\n", "",
+	}, {
+		"internal/process/composer/shutdown.go", "	awaitUntil(closeDeadline, func() bool { return i.acceptor.OpenConnections() == 0 })\n", "	_ = closeDeadline\n",
 	}}},
 	{"TestNothingIsSmuggled", "internal/connection/acceptor", []Edit{{
 		"internal/connection/acceptor/conn.go", "	h, err := parseHead(head)\n", "	h, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))\n",
