--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -101,6 +101,8 @@
 	Budget  forwarder.Budget
 	// Grace is the time from the signal to stop until the process is killed.
 	Grace time.Duration
+	// Drain is how long a target serves after its entry was removed; 0 if unknown.
+	Drain time.Duration
 	// FirstStart means that the whole installation starts for the first time and has no
 	// clients yet.
 	FirstStart bool
@@ -127,6 +129,9 @@
 type Sink struct {
 	OfferTable func(t *router.Table, now time.Time) error
 	OfferList  func(l *registrar.List, now time.Time) error
+	// CurrentAsOf returns when the data that this instance holds was last known to be current,
+	// by its own call or by that of another instance of the zone; zero if it never was.
+	CurrentAsOf func() time.Time
 }
 
 // Instance is one instance of the load balancer.
@@ -177,13 +182,15 @@
 	toldAt time.Time
 	// sizer holds the number of instances that share the fleet's budgets.
 	sizer *sizer.Sizer
+	// expiryChanged wakes maintain when a run may have to expire earlier than it knows.
+	expiryChanged chan struct{}
 	// loggedSharers is the number that logSharers has logged last; at first 1.
 	loggedSharers int
 }
 
 // New returns an instance that Run starts.
 func New(o Options) *Instance {
-	i := &Instance{options: o, startTime: time.Now()}
+	i := &Instance{options: o, startTime: time.Now(), expiryChanged: make(chan struct{}, 1)}
 	i.self = lister.Instance{Address: o.Front, Peer: o.Peer, Place: o.Zone, Zone: o.Zone, State: lister.Live}
 	i.sizer = sizer.New(sizer.Options{
 		Zone: o.Zone, Zones: o.Zones,
@@ -197,7 +204,7 @@
 	i.tables = &adopter.Adopter[router.Table]{Check: checkTable, OnChange: i.tableChanged, OnReject: i.documentRejected}
 	i.lists = &adopter.Adopter[registrar.List]{Check: i.checkList, OnChange: i.listChanged, OnReject: i.documentRejected}
 	i.registrar = registrar.New(i.runChanged)
-	i.registrar.Warmup = i.warmup
+	i.registrar.Drain, i.registrar.Warmup = o.Drain, i.warmup
 	share := func(part float64) int64 { return int64(part * float64(o.MemoryBytes)) }
 	i.memory = reserver.New(share(memoryShare), nil)
 	i.seeker = &seeker.Seeker{Random: rand.IntN}
@@ -221,7 +228,7 @@
 		Execute:      i.serveRelayed,
 		Logger:       o.Logger, Scope: o.Scope,
 	})
-	source := o.NewSource(Sink{OfferTable: i.offerTable, OfferList: i.offerList})
+	source := o.NewSource(Sink{OfferTable: i.offerTable, OfferList: i.offerList, CurrentAsOf: func() time.Time { return i.syncer.CurrentAsOf() }})
 	i.syncer = &syncer.Syncer{
 		Refresh: source.Refresh, List: source.List, Await: source.Await, FirstStart: o.FirstStart,
 		Predecessors: i.predecessors, InstanceCount: i.zoneInstances, Confirm: func(time.Time) { i.relayer.ConfirmDocuments() }, Logger: o.Logger,
@@ -292,11 +299,20 @@
 func (i *Instance) maintain(ctx context.Context) error {
 	ticker := time.NewTicker(maintenanceInterval)
 	defer ticker.Stop()
+	expiry := time.NewTimer(maintenanceInterval)
+	defer expiry.Stop()
 	var lastGauges time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-i.expiryChanged:
+			if next := i.registrar.NextExpiry(); !next.IsZero() {
+				expiry.Reset(time.Until(next))
+			}
+		case now := <-expiry.C:
+			i.expireRuns(now)
+			i.wakeMaintain()
 		case now := <-ticker.C:
 			i.assessor.RecordLateness(time.Since(now))
 			if now.Sub(lastGauges) >= gaugeInterval {
@@ -305,16 +321,32 @@
 				i.updateGauges(now)
 			}
 			zones := i.registrar.ExpireZones(now)
-			if i.registrar.Expire(now) || len(zones) > 0 {
+			if len(zones) > 0 {
 				i.updateTargets(now)
 			}
 			i.logZoneChanges(zones, i.lists.Stamp())
+			i.expireRuns(now)
 			i.forwarder.CloseIdleConnections(now)
 			i.forwarder.CheckLinks(now)
 		}
 	}
 }
 
+// expireRuns removes the runs whose grace is over.
+func (i *Instance) expireRuns(now time.Time) {
+	if i.registrar.Expire(now) {
+		i.updateTargets(now)
+	}
+}
+
+// wakeMaintain lets maintain wait for the next expiry.
+func (i *Instance) wakeMaintain() {
+	select {
+	case i.expiryChanged <- struct{}{}:
+	default:
+	}
+}
+
 // livePeers returns the peer addresses of the other live instances of the zone.
 func (i *Instance) livePeers() []netip.AddrPort {
 	var all []netip.AddrPort
--- a/internal/process/registrar/doc.go
+++ b/internal/process/registrar/doc.go
@@ -6,7 +6,7 @@
 // target starts again, that is a new run. A run that a list omits is gone at once,
 // unless the list was made right after an outage of the platform. Such a list may lack
 // entries of live targets, so the run stays usable for the time within which live targets
-// are listed again (omissionGrace).
+// are listed again (Completeness).
 //
 // A list also names the availability zones that an operator has emptied. Their runs are not
 // usable until a later list takes the zone back, and count as cold from then on.
--- a/internal/process/registrar/era.go
+++ b/internal/process/registrar/era.go
@@ -41,10 +41,15 @@
 // isRestoring reports whether the store has returned from a copy within restoreTime.
 func (r *Registrar) isRestoring(now time.Time) bool { return now.Sub(r.eraSince) < restoreTime }
 
-// mayBeIncomplete reports whether a list may lack live targets. Its reader may have started
-// after the store returned from a copy, and so not know it.
-func (r *Registrar) mayBeIncomplete(l *List, now time.Time) bool {
-	return l.MayBeIncomplete || now.Sub(r.eraSince) < omissionGrace
+// grace returns how long runs that a list omits stay usable. A list of an older build only
+// says that it may lack live targets. The reader may also have started after the store returned
+// from a copy, and so not know it.
+func (r *Registrar) grace(l *List, now time.Time) time.Duration {
+	grace := min(l.Grace, returnGrace)
+	if l.MayBeIncomplete && l.Grace == 0 {
+		grace = removalGrace(r.Drain)
+	}
+	return max(grace, r.eraSince.Add(omissionGrace).Sub(now))
 }
 
 // isOutdated reports whether an entry that a list shows is known to be outdated: the run has
--- a/internal/process/registrar/list.go
+++ b/internal/process/registrar/list.go
@@ -47,6 +47,9 @@
 	// MayBeIncomplete says that the list was made right after an outage of the platform
 	// and may lack entries of live targets.
 	MayBeIncomplete bool `json:"unsettled,omitzero"`
+	// Grace is how long, after the list was made, runs that it omits may still be live, in
+	// nanoseconds on the wire; 0 if the list is complete or an older build made it.
+	Grace time.Duration `json:"grace,omitzero"`
 	// Emptied holds the availability zones whose targets get no new requests, sorted. It is
 	// nil if the list says nothing of it.
 	Emptied []string `json:"emptied"`
--- a/internal/process/registrar/registrar.go
+++ b/internal/process/registrar/registrar.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// omissionGrace is how long a run stays usable after a possibly incomplete list
-	// omitted it. Entries of live targets return within this time after an outage.
+	// omissionGrace is how long after the store has returned from a copy a run that lists
+	// omit stays usable. Entries of live targets return within this time.
 	omissionGrace = 2 * time.Second
 	// retention is how long a Gone run is remembered, so that an outdated list cannot make
 	// a run that was leaving usable again. Lists are outdated by a few seconds at most;
@@ -76,6 +76,8 @@
 	// OnChange is called for each change of a run's state; it must not block. It may be
 	// nil.
 	OnChange func(c Change)
+	// Drain is how long a target serves after its entry was removed; 0 if unknown.
+	Drain time.Duration
 	// Warmup returns the slow period of a service's targets. If it is nil, there is none.
 	Warmup func(service string) time.Duration
 
@@ -115,7 +117,7 @@
 	r.listedRuns.Store(int64(len(l.Runs)))
 	for _, e := range r.entries {
 		if !e.listed {
-			r.applyOmission(e, r.mayBeIncomplete(l, now), now)
+			r.applyOmission(e, r.grace(l, now), now)
 		}
 	}
 	r.countRuns(changes)
@@ -146,10 +148,10 @@
 	}
 }
 
-func (r *Registrar) applyOmission(e *entry, mayBeIncomplete bool, now time.Time) {
+func (r *Registrar) applyOmission(e *entry, grace time.Duration, now time.Time) {
 	switch {
-	case mayBeIncomplete && e.state == Ready:
-		e.goneAt = now.Add(omissionGrace)
+	case grace > 0 && e.state == Ready:
+		e.goneAt = now.Add(grace)
 		r.setState(e, Missing, "list after an outage")
 	case e.state == Missing && now.Before(e.goneAt):
 		// A later list does not shorten the grace period.
@@ -189,7 +191,20 @@
 	}
 }
 
-// Expire changes Missing runs to Gone after omissionGrace and forgets runs after
+// NextExpiry returns when the next Missing run becomes Gone, or zero if there is none.
+func (r *Registrar) NextExpiry() time.Time {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var next time.Time
+	for _, e := range r.entries {
+		if e.state == Missing && (next.IsZero() || e.goneAt.Before(next)) {
+			next = e.goneAt
+		}
+	}
+	return next
+}
+
+// Expire changes Missing runs to Gone when their grace is over and forgets runs after
 // retention. It reports whether a run became unusable.
 func (r *Registrar) Expire(now time.Time) bool {
 	r.mutex.Lock()
--- a/internal/process/registrar/registrar_test.go
+++ b/internal/process/registrar/registrar_test.go
@@ -35,17 +35,31 @@
 }
 
 // After an outage of the platform a list may lack live targets. Their runs must stay
-// usable for omissionGrace, or the requests would have nowhere to go.
+// usable for the grace of the list, or the requests would have nowhere to go. A list of an older
+// build names no grace; its omissions may be removals that were seen at once.
 func TestRunOmittedAfterOutageStaysUsable(t *testing.T) {
-	r, now := New(nil), time.Unix(0, 0)
-	r.Apply(&List{Revision: 1, Runs: []Run{run("a", 1, false)}}, now)
-	r.Apply(&List{Revision: 2, MayBeIncomplete: true}, now)
-	require.Len(t, usableKeys(r), 1)
-	r.Apply(&List{Revision: 3}, now.Add(time.Second))
-	require.Len(t, usableKeys(r), 1, "a later list must not shorten the grace period")
-	require.False(t, r.Expire(now.Add(omissionGrace-1)))
-	require.True(t, r.Expire(now.Add(omissionGrace)))
-	require.Empty(t, usableKeys(r))
+	for _, c := range []struct {
+		list  List
+		grace time.Duration
+	}{
+		{List{Revision: 2, MayBeIncomplete: true, Grace: returnGrace}, returnGrace},
+		{List{Revision: 2, MayBeIncomplete: true, Grace: 1100 * time.Millisecond}, 1100 * time.Millisecond},
+		{List{Revision: 2, MayBeIncomplete: true, Grace: time.Hour}, returnGrace},
+		{List{Revision: 2, MayBeIncomplete: true}, removalGrace(2 * time.Second)},
+	} {
+		r, now := New(nil), time.Unix(0, 0)
+		r.Drain = 2 * time.Second
+		r.Apply(&List{Revision: 1, Runs: []Run{run("a", 1, false)}}, now)
+		require.Zero(t, r.NextExpiry())
+		r.Apply(&c.list, now)
+		require.Len(t, usableKeys(r), 1)
+		r.Apply(&List{Revision: 3}, now.Add(time.Second))
+		require.Len(t, usableKeys(r), 1, "a later list must not shorten the grace period")
+		require.Equal(t, now.Add(c.grace), r.NextExpiry())
+		require.False(t, r.Expire(now.Add(c.grace-1)))
+		require.True(t, r.Expire(now.Add(c.grace)))
+		require.Empty(t, usableKeys(r))
+	}
 }
 
 // Lists lag behind the reports of peers, so a list may still show a leaving run as ready.
