--- a/internal/process/composer/documents.go
+++ b/internal/process/composer/documents.go
@@ -133,7 +133,7 @@
 }
 
 func (i *Instance) listChanged(l *registrar.List, s adopter.Stamp, now time.Time) {
-	_ = level.Info(i.options.Logger).Log("msg", "targets listed", "version", s, "runs", len(l.Runs), "unsettled", l.MayBeIncomplete, "grace", l.Grace)
+	_ = level.Info(i.options.Logger).Log("msg", "targets listed", "version", s, "runs", len(l.Runs), "unsettled", l.MayBeIncomplete, "grace", l.Grace, "dropped", l.Dropped)
 	changes := i.registrar.Apply(l, now)
 	i.updateTargets(now)
 	i.wakeMaintain()
--- a/internal/process/journaler/lines.go
+++ b/internal/process/journaler/lines.go
@@ -35,7 +35,7 @@
 	{"unknown route type", "A route of the configuration has a type that is not known; its requests are sent at most once.", []string{"route", "type", "version"}},
 	{"document rejected", "A document from the platform or from a peer has faults.", []string{"version", "err"}},
 	{"document not pulled", "A document that a peer holds could not be fetched.", []string{"kind", "peer", "err"}},
-	{"targets listed", "A revision of the target list came into force.", []string{"version", "runs", "unsettled", "grace"}},
+	{"targets listed", "A revision of the target list came into force.", []string{"version", "runs", "unsettled", "grace", "dropped"}},
 	{"target changed", "The instance's view of a run of a target has changed.", []string{"target", "service", "address", "zone", "state", "before", "new", "cause"}},
 	{"zone emptied", "An operator has emptied an availability zone: its targets get no new requests from now on.", []string{"zone", "version", "runs", "busy"}},
 	{"zone taken back", "An operator has taken an emptied availability zone back: its targets get requests again, as cold ones.", []string{"zone", "version", "runs", "busy"}},
--- a/internal/process/registrar/list.go
+++ b/internal/process/registrar/list.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -58,6 +59,8 @@
 	TakenBack []string `json:"returned,omitempty"`
 	// Runs is sorted by name.
 	Runs []Run `json:"runs"`
+	// Dropped is the number of runs that Decode has left out because they fail Check.
+	Dropped int `json:"-"`
 }
 
 // Encode returns the list in the form that is sent to other instances.
@@ -66,7 +69,8 @@
 	return text, trace.Wrap(err)
 }
 
-// Decode parses a list that Encode returned.
+// Decode parses a list that Encode returned. It leaves out runs that fail Check, which a reader
+// of an older build may have listed.
 func Decode(text []byte) (*List, error) {
 	l := &List{}
 	if err := json.Unmarshal(text, l); err != nil {
@@ -75,5 +79,7 @@
 	if l.Revision == 0 {
 		return nil, trace.BadParameter("the revision of the list of targets is missing or 0, want 1 or more")
 	}
+	valid := slices.DeleteFunc(l.Runs, func(r Run) bool { return r.Check() != nil })
+	l.Runs, l.Dropped = valid, len(l.Runs)-len(valid)
 	return l, nil
 }
