--- a/internal/connection/exchanger/conn.go
+++ b/internal/connection/exchanger/conn.go
@@ -39,7 +39,8 @@
 	Header http.Header
 	Body   []byte
 	// IDHeader names the header field that a response repeats from its request. A
-	// response with another value belongs to another request and is skipped.
+	// response with another value, or with none on a connection that was used before, belongs
+	// to another request and is skipped.
 	IDHeader string
 	// NotExecuted reports whether a response says that the target did not execute
 	// the request.
@@ -219,7 +220,7 @@
 			continue
 		}
 		body, length := c.newBody(parsed, q.Method)
-		if c.isMismatched(q, parsed.Header) {
+		if c.isMismatched(q, parsed) {
 			if err := skipBody(body, length); err != nil {
 				return nil, false, err
 			}
@@ -264,17 +265,20 @@
 	return response, nil
 }
 
-// isMismatched reports whether a response belongs to another request. A response
-// that does not repeat the identifier is trusted if the connection has carried no
-// other request or if the request is idempotent.
-func (c *conn) isMismatched(q *Request, h http.Header) bool {
-	got, sent := h.Get(q.IDHeader), q.Header.Get(q.IDHeader)
+// isMismatched reports whether a response belongs to another request. One that does not
+// repeat the identifier may be that to a health check, or a copy of an earlier refusal. It is
+// trusted only if the connection has carried no other request, and never as a success.
+func (c *conn) isMismatched(q *Request, parsed *http.Response) bool {
+	got, sent := parsed.Header.Get(q.IDHeader), q.id()
 	if got == "" && sent != "" {
-		return !c.unused && q.NonIdempotent
+		return !c.unused || parsed.StatusCode < http.StatusMultipleChoices
 	}
 	return got != sent
 }
 
+// id returns the identifier of the request, or nothing if it has none.
+func (q *Request) id() string { return q.Header.Get(q.IDHeader) }
+
 // updateExpiry sets how long the connection may stay idle, from the Keep-Alive
 // header of a response.
 func (c *conn) updateExpiry(keepAlive string, now time.Time) {
