--- a/internal/connection/exchanger/conn.go
+++ b/internal/connection/exchanger/conn.go
@@ -101,6 +101,8 @@
 	reusable bool
 	// unused means that the connection has not carried a request yet.
 	unused bool
+	// carried holds the requests with an identifier that it has carried.
+	carried carried
 }
 
 func newConn(x *Exchanger, target netip.AddrPort, socket net.Conn) *conn {
@@ -140,6 +142,9 @@
 // exchange writes a request and reads its response.
 func (c *conn) exchange(q *Request) (*sender.Response, sender.Effect, error) {
 	c.reusable = false
+	if id := q.id(); id != "" {
+		c.carried.add(id)
+	}
 	written := make(chan error, 1)
 	head := q.encodeHead()
 	if len(head)+len(q.Body) <= maxSyncWriteBytes {
--- a/internal/connection/exchanger/exchanger.go
+++ b/internal/connection/exchanger/exchanger.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -79,23 +80,39 @@
 // acquire returns an idle connection to a target, or a new one if no idle
 // connection can carry the request.
 func (x *Exchanger) acquire(ctx context.Context, target netip.AddrPort, q *Request) (*conn, error) {
-	if q.NewConnection {
-		return x.dial(ctx, target, q.MaxConnections)
+	if !q.NewConnection {
+		if c := x.acquireIdle(target, q); c != nil {
+			return c, nil
+		}
 	}
+	return x.dial(ctx, target, q.MaxConnections)
+}
+
+// acquireIdle returns an idle connection that can carry the request, or nil.
+func (x *Exchanger) acquireIdle(target netip.AddrPort, q *Request) *conn {
+	var passedOver []*conn
+	defer func() {
+		// The most recently used one becomes the last one again.
+		for _, c := range slices.Backward(passedOver) {
+			x.pushIdle(c)
+		}
+	}()
 	for c := x.popIdle(target); c != nil; c = x.popIdle(target) {
 		now := time.Now()
-		if !now.Before(c.expires) || !c.isUsable() {
+		switch {
+		case !now.Before(c.expires) || !c.isUsable():
 			c.close()
-			continue
-		}
-		if !q.NonIdempotent || now.Sub(c.lastResponse) < maxNonIdempotentIdle {
-			return c, nil
+		case q.NonIdempotent && now.Sub(c.lastResponse) >= maxNonIdempotentIdle:
+			// The other idle connections received their last response even earlier.
+			passedOver = append(passedOver, c)
+			return nil
+		case q.id() != "" && c.carried.contains(q.id()):
+			passedOver = append(passedOver, c)
+		default:
+			return c
 		}
-		// The other idle connections received their last response even earlier.
-		x.pushIdle(c)
-		break
 	}
-	return x.dial(ctx, target, q.MaxConnections)
+	return nil
 }
 
 func (x *Exchanger) popIdle(target netip.AddrPort) *conn {
