--- a/internal/connection/sender/sender_test.go
+++ b/internal/connection/sender/sender_test.go
@@ -246,3 +246,22 @@
 		return !kept
 	}, time.Second, time.Millisecond, "the pool is removed once its last connection is closed")
 }
+
+// A response that stops at any byte must not be taken for a complete one with an empty or short
+// body: in the status line, in a field, between lines, in a chunk's size, in the trailer.
+func TestResponseThatStopsIsLost(t *testing.T) {
+	for _, whole := range []string{
+		"HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=y\r\nhello\r\n0\r\nA: b\r\n\r\n",
+		"HTTP/1.1 503 No\r\nTarget-State: shed\r\nContent-Length: 3\r\n\r\nno!",
+	} {
+		for length := range len(whole) {
+			s := &Sender{DialTimeout: time.Second}
+			_, effect, err := s.Send(t.Context(), serveText(t, whole[:length]), Request{Method: http.MethodPost, Path: "/", MaxResponseBytes: 1 << 20})
+			if err == nil || effect != Lost {
+				t.Errorf("%q: effect %v, error %v, want Lost and an error", whole[:length], effect, err)
+			}
+		}
+	}
+}
