--- a/internal/process/composer/shutdown.go
+++ b/internal/process/composer/shutdown.go
@@ -63,7 +63,7 @@
 // naming the instance. For acceptTime, clients that still connect are served and asked to
 // connect to another instance. After that, no connection is accepted and no request read;
 // one that has arrived in part, or that another instance relays, is rejected, as it might
-// not end in time. shutDown waits until no request is in progress, or until only exitShare
+// not end in time. So is, from the start, one that waits and is not expected to. shutDown waits until no request is in progress, or until only exitShare
 // of the grace period is left.
 func (i *Instance) shutDown(l net.Listener) {
 	start := time.Now()
@@ -72,6 +72,7 @@
 	i.relayer.StartLeaving(start)
 	i.acceptor.StartDraining()
 	drainDeadline := start.Add(time.Duration((1 - exitShare) * float64(i.options.Grace)))
+	i.forwarder.StopAt(drainDeadline, start)
 	time.Sleep(acceptTime(i.options.Grace))
 	l.Close()
 	i.acceptor.StopReading()
--- a/internal/process/forwarder/execution.go
+++ b/internal/process/forwarder/execution.go
@@ -374,8 +374,12 @@
 }
 
 // isUnreached reports whether another instance may serve the request, because this one is
-// cut off from the targets or could send it to none of those that it tried.
+// cut off from the targets, could send it to none of those that it tried, or stops. Clients of
+// an instance that stops return to another one themselves.
 func (e *execution) isUnreached() bool {
+	if e.rejection != nil && e.rejection.Reason == placer.Stopping {
+		return e.isRelayed && !e.mayHaveRun
+	}
 	if e.rejection != nil {
 		return e.rejection.Reason == placer.CutOff && (!e.mayHaveRun || e.route.Idempotent)
 	}
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -152,8 +152,11 @@
 
 	budget atomic.Pointer[Budget]
 
+	// mutex guards services and stopEnd.
 	mutex    sync.Mutex
 	services map[string]*service
+	// stopEnd is the end of the instance's stop; zero while it does not stop.
+	stopEnd time.Time
 }
 
 // New returns a forwarder without targets.
@@ -211,6 +214,18 @@
 // to a request, or that a suspect request was cleared.
 func (f *Forwarder) ReceiveRumor(r quarantiner.Rumor, now time.Time) { f.quarantiner.Receive(r, now) }
 
+// StopAt prepares for the end of the instance: no request is sent to a target that is not
+// expected to end by the given time. One that cannot is rejected at once, so that its client
+// can go to another instance.
+func (f *Forwarder) StopAt(end, now time.Time) {
+	f.mutex.Lock()
+	f.stopEnd = end
+	f.mutex.Unlock()
+	for _, s := range f.allServices() {
+		s.stopAt(end, now)
+	}
+}
+
 // RefuseRequests ends the acceptance of requests because the instance stops. Those that have
 // begun go on.
 func (f *Forwarder) RefuseRequests() { f.refusing.Store(true) }
@@ -224,6 +239,7 @@
 	s := f.services[name]
 	if s == nil {
 		s = newService(f, name)
+		s.placer.StopAt(f.stopEnd)
 		f.services[name] = s
 	}
 	return s
--- a/internal/process/forwarder/service.go
+++ b/internal/process/forwarder/service.go
@@ -178,6 +178,13 @@
 	s.step(now)
 }
 
+func (s *service) stopAt(end, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.placer.StopAt(end)
+	s.step(now)
+}
+
 func (s *service) onTimer() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/request/placer/placer.go
+++ b/internal/request/placer/placer.go
@@ -142,6 +142,8 @@
 	lastDropped time.Time
 	// starts holds the times of the grants within startRateWindow.
 	starts []time.Time
+	// stopEnd is the end of the instance's stop; zero while it does not stop.
+	stopEnd time.Time
 }
 
 // New returns a placer without targets.
@@ -201,6 +203,7 @@
 	if !t.Hedge && len(t.Avoid) == 0 {
 		t.Returned, t.returnsLate = p.rationer.Arrive(t.Kind, t.Patience, t.Arrived)
 	}
+	p.limitDeadline(t)
 	p.waiting = append(p.waiting, t)
 }
 
--- a/internal/request/placer/reject.go
+++ b/internal/request/placer/reject.go
@@ -9,6 +9,10 @@
 // requests that start before it.
 func (p *Placer) reject(t *Ticket, usable *candidates, rank int, now time.Time) (Rejection, bool) {
 	rejection := func(r Reason, wait time.Duration) (Rejection, bool) {
+		if t.endsWithStop && (r == DeadlineUnreachable || r == WaitTooLong) {
+			// Another instance can serve it at once.
+			return Rejection{Ticket: t, RetryAfter: minRetryAfter, Reason: Stopping}, true
+		}
 		return Rejection{Ticket: t, RetryAfter: max(p.spread(wait), minRetryAfter), Reason: r}, true
 	}
 	wait := p.expectedWait(rank)
--- a/internal/request/placer/ticket.go
+++ b/internal/request/placer/ticket.go
@@ -12,7 +12,7 @@
 	Arrived time.Time
 	// ObjectiveTime is the latest time at which a response meets the latency objective.
 	ObjectiveTime time.Time
-	// Deadline is when the request is given up.
+	// Deadline is when the request is given up. Placer.StopAt may set an earlier one.
 	Deadline time.Time
 	// Patience is the time for which the client waits, from Arrived.
 	Patience time.Duration
@@ -39,6 +39,8 @@
 	returnsLate bool
 	// deferred means that the request has left a free slot to others.
 	deferred bool
+	// endsWithStop means that Deadline is the end of the instance's stop.
+	endsWithStop bool
 	// slowdown is the target's slowdown at the time of the grant; 0 means not granted.
 	slowdown float64
 }
@@ -85,7 +87,7 @@
 	Limited
 	// CutOff means that this instance can reach no target.
 	CutOff
-	// Stopping means that this instance stops.
+	// Stopping means that this instance stops before the request could end.
 	Stopping
 )
 
--- a/internal/standin/mutator/variants_test.go
+++ b/internal/standin/mutator/variants_test.go
@@ -65,7 +65,7 @@
 		"internal/process/syncer/schedule.go", "	confirmationTimeout = LongPollWait + 300*time.Millisecond\n", "	confirmationTimeout = LongPollWait + 2*time.Second\n",
 	}}},
 	{"TestChangesArriveAfterStoreFaults", "platform", []Edit{{
-		"platform/source.go", "	if errors.Is(err, errCompacted) || err == nil && s.beginsEra(at) {\n", "	if err == nil && s.beginsEra(at) {\n",
+		"platform/source.go", "	if lacksChanges(err) || err == nil && s.beginsEra(at) {\n", "	if err == nil && s.beginsEra(at) {\n",
 	}, {
 		"internal/process/syncer/syncer.go", "maxIncrementalAge = 5 * time.Second", "maxIncrementalAge = time.Hour",
 	}}},
