acceptor: an upload that is not complete soon after the end of reading is refused

Callers saw: an upload that was still arriving when an instance stopped went on until the process ended, up to 2.4 s later, and its client was told nothing.

Cause: each piece of a body had bodyTimeout, whatever was left of the stop. Change: what has begun to arrive has 0.5 s from the end of reading on; then its client gets 408, which says that it has not run. TestRequestThatStaysIncompleteIsRefusedAfterStopReading failed before (no response within 3 s).

--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -32,6 +32,9 @@
 	// Closing a connection with unread bytes resets it, and the client may lose the
 	// response.
 	lingerTimeout = 500 * time.Millisecond
+	// lateReadTime is the time for the rest of a request that has begun to arrive when reading
+	// ends. A client that needs longer is told that its request has not run.
+	lateReadTime = 500 * time.Millisecond
 	// maxPipelined is the capacity of a connection's queue of requests that wait for
 	// the responses to earlier requests to be written.
 	maxPipelined = 32
@@ -154,14 +157,14 @@
 
 // StopReading ends the reading of requests. Connections without a pending request close;
 // the others close after their last response, which says so, as its client may send what was
-// not read elsewhere. A request that has begun to arrive is read to its end. Connections
-// that are accepted later close unread.
-func (a *Acceptor) StopReading() {
+// not read elsewhere. A request that has begun to arrive is read to its end, or refused with
+// status 408 after lateReadTime. Connections that are accepted later close unread.
+func (a *Acceptor) StopReading(now time.Time) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.readingEnded = true
 	for c := range a.conns {
-		c.stopReading()
+		c.stopReading(now.Add(lateReadTime))
 	}
 }
 
--- a/internal/connection/acceptor/acceptor_test.go
+++ b/internal/connection/acceptor/acceptor_test.go
@@ -265,7 +265,7 @@
 	_, r := dial(t, address)
 	require.Eventually(t, func() bool { return a.OpenConnections() == 1 }, 5*time.Second, time.Millisecond)
 	a.StartDraining()
-	a.StopReading()
+	a.StopReading(time.Now())
 	_, err := r.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 }
@@ -293,7 +293,7 @@
 			}
 			require.Eventually(t, func() bool { return int(handled.Load()) == pending }, 5*time.Second, time.Millisecond)
 			a.StartDraining()
-			a.StopReading()
+			a.StopReading(time.Now())
 			write(t, c, "GET /late HTTP/1.1\r\nHost: h\r\n\r\nPOST /late HTTP/1.1\r\nHost: h\r\nContent-Le")
 			// Time in which an acceptor that reads on would begin the late request.
 			time.Sleep(100 * time.Millisecond)
@@ -323,7 +323,7 @@
 		write(t, c, text[:read])
 		require.Eventually(t, func() bool { return a.PendingRequests() == 1 }, 5*time.Second, time.Millisecond)
 		a.StartDraining()
-		a.StopReading()
+		a.StopReading(time.Now())
 		write(t, c, text[read:]+"GET /late HTTP/1.1\r\nHost: h\r\n\r\n")
 		response, body := readResponse(t, r)
 		require.Equal(t, "POST /a hello", body)
@@ -333,6 +333,27 @@
 	}
 }
 
+// TestRequestThatStaysIncompleteIsRefusedAfterStopReading guards against an upload that goes on
+// until the process ends and whose client is told nothing then: that it has not run, and may be
+// sent elsewhere.
+func TestRequestThatStaysIncompleteIsRefusedAfterStopReading(t *testing.T) {
+	handled := atomic.Int32{}
+	a, address := startAcceptor(t, func(ctx context.Context, q *Request) *Response {
+		handled.Add(1)
+		return echo(ctx, q)
+	})
+	c, r := dial(t, address)
+	// Less than bodyTimeout.
+	require.NoError(t, c.SetDeadline(time.Now().Add(3*time.Second)))
+	write(t, c, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhe")
+	require.Eventually(t, func() bool { return a.PendingRequests() == 1 }, 5*time.Second, time.Millisecond)
+	a.StopReading(time.Now())
+	response, _ := readResponse(t, r)
+	require.Equal(t, http.StatusRequestTimeout, response.StatusCode)
+	require.True(t, response.Close)
+	require.Zero(t, handled.Load())
+}
+
 // TestConnectionAcceptedAfterStopReadingIsNotRead guards against requests of a connection that
 // was accepted while reading was ended.
 func TestConnectionAcceptedAfterStopReadingIsNotRead(t *testing.T) {
@@ -341,7 +362,7 @@
 		handled.Add(1)
 		return echo(ctx, q)
 	})
-	a.StopReading()
+	a.StopReading(time.Now())
 	c, r := dial(t, address)
 	// The connection may be closed already.
 	_, _ = io.WriteString(c, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -374,7 +395,7 @@
 	c, r := dial(t, address)
 	write(t, c, "GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /last HTTP/1.1\r\nHost: h\r\n\r\n")
 	require.Eventually(t, func() bool { return handled.Load() == 2 }, 5*time.Second, time.Millisecond)
-	a.StopReading()
+	a.StopReading(time.Now())
 	// Time in which the acceptor notices that it reads no further request.
 	time.Sleep(50 * time.Millisecond)
 	release <- struct{}{}
--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -45,6 +45,9 @@
 	reading bool
 	// closing means that no further request is read.
 	closing bool
+	// readEnd is when the reading of a request ends that has begun to arrive; zero before
+	// StopReading.
+	readEnd time.Time
 	// discarding means that further input is read to be discarded, which the end of a
 	// response must not stop.
 	discarding bool
@@ -157,7 +160,7 @@
 
 // parseRequest reads one complete request.
 func (c *conn) parseRequest(limits Limits) (*Request, *exchange, error) {
-	_ = c.socket.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	c.extendReading(time.Now().Add(limits.HeaderTimeout))
 	head, err := readHead(c.reader, limits.MaxHeaderBytes)
 	if err != nil {
 		return nil, nil, c.classifyReadError(err)
@@ -299,14 +302,29 @@
 	return c.closing
 }
 
-// stopReading lets the connection close after the requests that have begun to arrive.
-func (c *conn) stopReading() {
+// stopReading lets the connection close after the requests that have begun to arrive. One that
+// is arriving has time until end.
+func (c *conn) stopReading(end time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.closing = true
+	c.closing, c.readEnd = true, end
+	if c.reading {
+		_ = c.socket.SetReadDeadline(end)
+	}
 	c.setReadDeadline()
 }
 
+// extendReading gives the client until the deadline to send more of its request, but not
+// beyond readEnd.
+func (c *conn) extendReading(deadline time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.readEnd.IsZero() && c.readEnd.Before(deadline) {
+		deadline = c.readEnd
+	}
+	_ = c.socket.SetReadDeadline(deadline)
+}
+
 func (c *conn) pendingRequests() int {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/connection/acceptor/reader.go
+++ b/internal/connection/acceptor/reader.go
@@ -63,7 +63,7 @@
 
 // Read implements io.Reader.
 func (r *deadlineReader) Read(p []byte) (int, error) {
-	_ = r.conn.socket.SetReadDeadline(time.Now().Add(bodyTimeout))
+	r.conn.extendReading(time.Now().Add(bodyTimeout))
 	return r.body.Read(p)
 }
 
--- a/internal/connection/acceptor/stream_test.go
+++ b/internal/connection/acceptor/stream_test.go
@@ -128,7 +128,7 @@
 	response, err := http.ReadResponse(r, nil)
 	require.NoError(t, err)
 	a.StartDraining()
-	a.StopReading()
+	a.StopReading(time.Now())
 	require.Equal(t, 1, a.PendingRequests())
 	_, err = target.Write([]byte("rest"))
 	require.NoError(t, err)
--- a/internal/process/composer/shutdown.go
+++ b/internal/process/composer/shutdown.go
@@ -75,7 +75,7 @@
 	i.forwarder.StopAt(drainDeadline, start)
 	time.Sleep(acceptTime(i.options.Grace))
 	l.Close()
-	i.acceptor.StopReading()
+	i.acceptor.StopReading(time.Now())
 	i.forwarder.RefuseRequests()
 	_ = level.Info(i.options.Logger).Log("msg", "reading ended", "after", time.Since(start), "busy", i.acceptor.PendingRequests(), "connections", i.acceptor.OpenConnections())
 	awaitUntil(drainDeadline, func() bool { return i.acceptor.PendingRequests()+i.relayer.Executing() == 0 })
