--- a/internal/process/dispatcher/concurrent_test.go
+++ b/internal/process/dispatcher/concurrent_test.go
@@ -19,9 +19,9 @@
 	}
 }
 
-// maxOutstanding acquires leases from several goroutines and returns the greatest
-// number that one target had outstanding.
-func maxOutstanding(t *testing.T, acquire func(d *Dispatcher, request Request) *Lease) int64 {
+// maxOutstanding acquires leases from several goroutines, calls hold while each counts as
+// outstanding, and returns the greatest number that one target had outstanding.
+func maxOutstanding(t *testing.T, acquire func(d *Dispatcher, request Request) *Lease, hold func()) int64 {
 	m := newMachine()
 	m.policy.Queue, m.policy.MaxWait, m.policy.Deadline = 64, time.Minute, time.Minute
 	m.now = time.Now()
@@ -37,7 +37,7 @@
 				i := l.Target.Addr().As4()[3]
 				n := outstanding[i].Add(1)
 				storeMax(&greatest, n)
-				time.Sleep(time.Microsecond)
+				hold()
 				outstanding[i].Add(-1)
 				l.Release(Result{Ending: retrier.Done}, time.Now())
 			}
@@ -62,16 +62,17 @@
 			panic(rejection.Cause)
 		}
 		return l
-	})
+	}, func() { time.Sleep(time.Microsecond) })
 	// The policy of newMachine allows 3: two slots and one spare request.
 	if greatest > 3 {
 		t.Errorf("%d outstanding at one target, want at most 3", greatest)
 	}
-	// The first four requests check the limit before any of them takes capacity, so
-	// that they exceed the limit of 3.
-	var gate sync.WaitGroup
+	// The first four requests check the limit before any of them takes capacity, and none of
+	// them ends before all have begun, so that they exceed the limit of 3.
+	var gate, begun sync.WaitGroup
 	gate.Add(4)
-	var arrived atomic.Int64
+	begun.Add(4)
+	var arrived, held atomic.Int64
 	variantGreatest := maxOutstanding(t, func(d *Dispatcher, _ Request) *Lease {
 		c := &d.configuration.Load().set.Candidates[0]
 		belowLimit := c.Target.Outstanding() < c.Limit
@@ -85,6 +86,11 @@
 		}
 		inFlight, _ := c.Target.Begin(1<<20, 2, 0, time.Now())
 		return &Lease{Target: c.Target.Address, dispatcher: d, target: c.Target, inFlight: inFlight, estimate: d.latencyEstimate("find")}
+	}, func() {
+		if held.Add(1) <= 4 {
+			begun.Done()
+			begun.Wait()
+		}
 	})
 	if variantGreatest <= 3 {
 		t.Errorf("the test accepts a limit that is not atomic: %d outstanding at one target, want more than 3", variantGreatest)
