--- a/internal/process/composer/shutdown.go
+++ b/internal/process/composer/shutdown.go
@@ -63,8 +63,8 @@
 // naming the instance. For acceptTime, clients that still connect are served and asked to
 // connect to another instance. After that, no connection is accepted and no request read;
 // one that has arrived in part, or that another instance relays, is rejected, as it might
-// not end in time. So is, from the start, one that waits and is not expected to. shutDown waits until no request is in progress, or until only exitShare
-// of the grace period is left.
+// not end in time. So is, from the start, one that waits and is not expected to. shutDown
+// waits until no request is in progress, or until only exitShare of the grace period is left.
 func (i *Instance) shutDown(l net.Listener) {
 	start := time.Now()
 	_ = level.Info(i.options.Logger).Log("msg", "stopping", "busy", i.acceptor.PendingRequests(), "connections", i.acceptor.OpenConnections())
--- a/internal/process/registrar/check.go
+++ b/internal/process/registrar/check.go
@@ -23,30 +23,38 @@
 
 var broadcast = netip.AddrFrom4([4]byte{255, 255, 255, 255})
 
+// runChecks holds the conditions on the fields of a run.
+var runChecks = []struct {
+	field    string
+	holds    func(r *Run) bool
+	value    func(r *Run) any
+	expected string
+}{
+	{"name", func(r *Run) bool { return isName(r.Name) }, func(r *Run) any { return r.Name }, "a text for a header of 1 to 200 bytes"},
+	{"service", func(r *Run) bool { return isName(r.Service) }, func(r *Run) any { return r.Service }, "a text for a header of 1 to 200 bytes"},
+	{"zone", func(r *Run) bool { return r.Zone == "" || isName(r.Zone) }, func(r *Run) any { return r.Zone }, "a text for a header of at most 200 bytes"},
+	{"address", func(r *Run) bool { return isHost(r.Address) }, func(r *Run) any { return r.Address }, "the IPv4 address of a host with a port"},
+	{"number of slots", func(r *Run) bool { return r.Slots >= 1 && r.Slots <= maxSlots }, func(r *Run) any { return r.Slots }, "1 to 1048576"},
+	{"warm-up", func(r *Run) bool { return r.WarmupLeft >= 0 && r.WarmupLeft <= maxWarmupLeft }, func(r *Run) any { return r.WarmupLeft }, "0 to 24h"},
+	{"start", func(r *Run) bool { return r.StartMs >= 0 && r.StartMs <= maxStartMs }, func(r *Run) any { return r.StartMs }, "0 to 2^53 milliseconds"},
+}
+
 // Check returns an error that names the first field of the run that cannot be that of a target.
 func (r *Run) Check() error {
-	a := r.Address.Addr()
-	for _, f := range []struct {
-		name     string
-		valid    bool
-		value    any
-		expected string
-	}{
-		{"name", isName(r.Name), r.Name, "a text for a header of 1 to 200 bytes"},
-		{"service", isName(r.Service), r.Service, "a text for a header of 1 to 200 bytes"},
-		{"zone", r.Zone == "" || isName(r.Zone), r.Zone, "a text for a header of at most 200 bytes"},
-		{"address", a.Is4() && !a.IsUnspecified() && !a.IsMulticast() && a != broadcast && r.Address.Port() != 0, r.Address, "the IPv4 address of a host with a port"},
-		{"number of slots", r.Slots >= 1 && r.Slots <= maxSlots, r.Slots, "1 to 1048576"},
-		{"warm-up", r.WarmupLeft >= 0 && r.WarmupLeft <= maxWarmupLeft, r.WarmupLeft, "0 to 24h"},
-		{"start", r.StartMs >= 0 && r.StartMs <= maxStartMs, r.StartMs, "0 to 2^53 milliseconds"},
-	} {
-		if !f.valid {
-			return trace.BadParameter("invalid %s %.100q, expected %s", f.name, fmt.Sprint(f.value), f.expected)
+	for i := range runChecks {
+		if c := &runChecks[i]; !c.holds(r) {
+			return trace.BadParameter("invalid %s %.100q, expected %s", c.field, fmt.Sprint(c.value(r)), c.expected)
 		}
 	}
 	return nil
 }
 
+// isHost reports whether an address can be that of one host.
+func isHost(a netip.AddrPort) bool {
+	host := a.Addr()
+	return host.Is4() && !host.IsUnspecified() && !host.IsMulticast() && host != broadcast && a.Port() != 0
+}
+
 // isName reports whether a text can be the name of a target, a service or a zone.
 func isName(s string) bool {
 	return s != "" && len(s) <= maxNameBytes && s == strings.TrimSpace(s) && utf8.ValidString(s) && httpguts.ValidHeaderFieldValue(s)
