--- a/review/rig2/behind.go
+++ b/review/rig2/behind.go
@@ -70,6 +70,7 @@
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
 		s.passed[r.id] = r
+		c.record.printf("RUN %s at %s", r.id, r.upstream)
 	}
 	large, err := f.addUpstreams("feeds", 1, 14, 2, feeds, nil)
 	if err != nil {
@@ -118,6 +119,7 @@
 	defer conn.Close()
 	for ctx.Err() == nil {
 		first, second := newID(), newID()
+		f.record.printf("SENT %s and, behind it, %s to %s", first, second, f.nameOf(front))
 		_, err := io.WriteString(conn, requestHead(http.MethodGet, "/feeds/"+first, f.host, first, 10*time.Second, 0, "")+
 			requestHead(http.MethodGet, "/trips/"+second, f.host, second, 5*time.Second, 0, ""))
 		if err != nil {
@@ -128,6 +130,7 @@
 		if a.err == nil {
 			a = conn.readAnswer(second, http.MethodGet, end)
 			if a.err == nil {
+				f.record.printf("ANSWERED %s: %s and, behind it, %s: %s", f.nameOf(front), first, second, a.text())
 				s.add(1)
 				time.Sleep(300 * time.Millisecond)
 				continue
--- a/review/rig2/crasher.go
+++ b/review/rig2/crasher.go
@@ -32,6 +32,8 @@
 type crashes struct {
 	mutex sync.Mutex
 	all   []run
+	// times holds when each upstream has crashed.
+	times []time.Time
 	// orders holds when each order has begun to run, and where.
 	orders map[string]run
 	// served and lost count the orders with a success and those that have begun to run and
@@ -49,6 +51,7 @@
 	s := &crashes{orders: map[string]run{}}
 	serve := func(_ *upstream, q *http.Request, _ []byte) answer {
 		if c.trouble && q.URL.Path == crashPath {
+			s.crashed(time.Now())
 			return answer{crash: true}
 		}
 		return answer{status: http.StatusOK, body: []byte("done " + q.URL.Path), work: 200 * time.Millisecond}
@@ -89,6 +92,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if r.path != crashPath {
+		to.printf("RUN %s at %s", r.id, r.upstream)
 		s.orders[r.id] = r
 		return
 	}
@@ -96,6 +100,13 @@
 	to.printf("RUN %s begins at %s (number %d)", r.id, r.upstream, len(s.all))
 }
 
+// crashed records that the request crashes an upstream.
+func (s *crashes) crashed(at time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.times = append(s.times, at)
+}
+
 // order sends an order.
 func (s *crashes) order(ctx context.Context, f *fleet) {
 	front := f.fronts(ctx)[0]
@@ -106,6 +117,7 @@
 	defer conn.Close()
 	id := newID()
 	r := conn.exchange(http.MethodPost, "/pufi791/"+id, f.host, id, 2500*time.Millisecond, []byte("order"))
+	f.record.printf("ORDER %s to %s: %s", id, f.nameOf(front), r.text())
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	o, ran := s.orders[id]
@@ -172,11 +184,11 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	r.say("orders: %d served, %d ran and were lost with a crashed upstream", s.served, s.lost)
-	if len(s.all) < 3 {
-		r.say("the request has crashed %d upstreams", len(s.all))
+	if len(s.times) < 3 {
+		r.say("the request has crashed %d upstreams and reached them %d times", len(s.times), len(s.all))
 		return false
 	}
-	from := s.all[2].at.Add(stableWindow)
+	from := s.times[2].Add(stableWindow)
 	attempts, arrivals := map[string]bool{}, 0
 	for _, a := range s.all {
 		if a.at.After(from) {
@@ -184,7 +196,7 @@
 			attempts[a.id] = true
 		}
 	}
-	r.say("the request has reached upstreams %d times; later than %s after the third crash %d times, in %d attempts of its client (allowed: %d)",
-		len(s.all), stableWindow, arrivals, len(attempts), allowedRetries)
+	r.say("the request has crashed %d upstreams and reached them %d times; later than %s after the third crash %d times, in %d attempts of its client (allowed: %d)",
+		len(s.times), len(s.all), stableWindow, arrivals, len(attempts), allowedRetries)
 	return len(attempts) > allowedRetries
 }
--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -27,6 +27,8 @@
 	// restartDelay is the time after which a process that has ended starts again.
 	restartDelay = 500 * time.Millisecond
 	readyTimeout = 15 * time.Second
+	// memoryInterval is the time between two looks at the memory of a process.
+	memoryInterval = 5 * time.Millisecond
 )
 
 // fleet is a small deployment: a store, instances and the upstreams that register.
@@ -135,7 +137,9 @@
 	command *exec.Cmd
 	// wanted means that the process starts again when it has ended.
 	wanted bool
-	// ownEnds counts the ends that the case did not cause.
+	// peak is the most memory that was seen, in bytes.
+	peak int64
+	// ownEnds counts the ends that the case did not cause, those for memory included.
 	ownEnds int
 	ended   chan struct{}
 }
@@ -287,11 +291,32 @@
 	return nil
 }
 
-// watch starts the process again when it has ended by itself.
+// watch ends the process when it exceeds its memory, as the platform does, and starts it again
+// when it has ended.
 func (i *instance) watch(c *exec.Cmd, ended chan struct{}) {
-	_ = c.Wait()
-	close(ended)
-	i.handleEnd()
+	go func() {
+		_ = c.Wait()
+		close(ended)
+	}()
+	ticker := time.NewTicker(memoryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ended:
+			i.handleEnd()
+			return
+		case <-ticker.C:
+		}
+		used := anonymousMemory(c.Process.Pid)
+		i.mutex.Lock()
+		i.peak = max(i.peak, used)
+		over := used > memoryMB<<20 && i.wanted
+		i.mutex.Unlock()
+		if over {
+			i.fleet.record.printf("MEMORY %s holds %d MiB, its limit is %d: it is killed as the platform does", i.name, used>>20, memoryMB)
+			_ = c.Process.Kill()
+		}
+	}
 }
 
 func (i *instance) handleEnd() {
@@ -333,6 +358,27 @@
 	return i.ownEnds
 }
 
+// peakMiB returns the most memory that was seen.
+func (i *instance) peakMiB() int64 {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.peak >> 20
+}
+
+// anonymousMemory returns the memory of a process without mapped files, in bytes.
+func anonymousMemory(pid int) int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	kilobytes := int64(0)
+	_, rest, _ := strings.Cut(string(text), "RssAnon:")
+	if _, err := fmt.Sscan(rest, &kilobytes); err != nil {
+		return 0
+	}
+	return kilobytes << 10
+}
+
 func (i *instance) ready() bool {
 	response, err := probeClient.Get(fmt.Sprintf("http://%s:%d/api/readyz", i.ip, readyPort))
 	if err != nil {
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -20,6 +20,7 @@
 	"behind":   runBehind,
 	"crasher":  runCrasher,
 	"continue": runContinue,
+	"uploads":  runUploads,
 }
 
 // caseRun is one run of a case.
--- a/review/rig2/upstream.go
+++ b/review/rig2/upstream.go
@@ -148,6 +148,9 @@
 	})
 }
 
+// crashNow crashes the present incarnation.
+func (u *upstream) crashNow(back time.Duration) { u.crash(u.currentID(), back) }
+
 func (u *upstream) handle(c net.Conn, id string) {
 	defer func() {
 		c.Close()
