--- a/review/rig2/uploads.go
+++ b/review/rig2/uploads.go
@@ -18,7 +18,7 @@
 	// less than its link of 1,000 Mbit/s.
 	uploadsPerMachine = 7
 	// lookupsPerMachine is the number of clients that send lookups at each machine.
-	lookupsPerMachine = 9
+	lookupsPerMachine = 5
 	uploadStep        = 256 << 10
 	uploadRate        = 16 << 20
 	// downTime is how long the upstreams of the uploads are down, crashTimes when they crash.
@@ -64,7 +64,7 @@
 		{"/lohu930/", "safe", "field-orders", time.Second, 400 * time.Millisecond, 2, 2},
 		{"/sync/", "safe", "partner-records", 4 * time.Second, time.Second, 2, 2},
 	}, "field-orders", "partner-records")
-	f.addInstances(3)
+	f.addInstances(6)
 	if err := f.startAll(); err != nil {
 		return false, err
 	}
