--- a/internal/connection/exchanger/body.go
+++ b/internal/connection/exchanger/body.go
@@ -59,7 +59,22 @@
 	case parsed.ContentLength >= 0:
 		return &exactReader{c.reader, parsed.ContentLength}, parsed.ContentLength
 	}
-	return c.reader, -1
+	return &unframedReader{c}, -1
+}
+
+// unframedReader reads a body that ends with its connection. A body that is cut off by the loss
+// of the connection is an error.
+type unframedReader struct{ conn *conn }
+
+// Read implements io.Reader.
+func (r *unframedReader) Read(p []byte) (int, error) {
+	n, err := r.conn.reader.Read(p)
+	if err == io.EOF {
+		if lost := r.conn.endWrite(); lost != nil {
+			err = lost
+		}
+	}
+	return n, err
 }
 
 // exactReader reads a body of a known length. A body that ends early is an error.
--- a/internal/connection/exchanger/conn.go
+++ b/internal/connection/exchanger/conn.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -103,6 +104,10 @@
 	unused bool
 	// carried holds the requests with an identifier that it has carried.
 	carried carried
+	// written is closed after the current request has been written, or writing has failed
+	// with writeErr.
+	written  chan struct{}
+	writeErr error
 }
 
 func newConn(x *Exchanger, target netip.AddrPort, socket net.Conn) *conn {
@@ -145,48 +150,66 @@
 	if id := q.id(); id != "" {
 		c.carried.add(id)
 	}
-	written := make(chan error, 1)
-	head := q.encodeHead()
-	if len(head)+len(q.Body) <= maxSyncWriteBytes {
-		_, err := c.socket.Write(append(head, q.Body...))
-		written <- err
-		if err != nil {
-			// The target may have received part of the request, or a short one completely.
-			return nil, sender.Lost, trace.Wrap(err)
-		}
-	} else {
-		// A target may respond before it has read a long body.
-		go func() {
-			all := net.Buffers{head, q.Body}
-			_, err := all.WriteTo(c.socket)
-			written <- err
-		}()
-	}
-	// If the target responds early, the connection is closed, so the rest of the body is
-	// not sent.
-	isWritten := func() bool {
-		select {
-		case err := <-written:
-			return err == nil
-		default:
-			return false
-		}
+	if err := c.write(q.encodeHead(), q.Body); err != nil {
+		// The target may have received part of the request, or a short one completely.
+		return nil, sender.Lost, trace.Wrap(err)
 	}
 	response, reusable, err := c.readMatchingResponse(q)
 	if err != nil {
 		return nil, sender.Lost, err
 	}
 	if response.Rest != nil {
-		response.Rest.(*rest).reusable = func() bool { return reusable && isWritten() }
+		response.Rest.(*rest).reusable = func() bool { return reusable && c.isWritten() }
 		return response, sender.Done, nil
 	}
-	c.reusable = reusable && isWritten()
+	c.reusable = reusable && c.isWritten()
 	if q.NotExecuted(response) {
 		return response, sender.NotExecuted, nil
 	}
 	return response, sender.Done, nil
 }
 
+// write writes a short request, or starts to write a long one: a target may respond before it
+// has read the body.
+func (c *conn) write(head, body []byte) error {
+	c.written, c.writeErr = make(chan struct{}), nil
+	if len(head)+len(body) <= maxSyncWriteBytes {
+		defer close(c.written)
+		_, c.writeErr = c.socket.Write(append(head, body...))
+		return c.writeErr
+	}
+	go func() {
+		defer close(c.written)
+		all := net.Buffers{head, body}
+		_, c.writeErr = all.WriteTo(c.socket)
+	}()
+	return nil
+}
+
+// isWritten reports whether the whole request has been written. The rest of a body whose
+// response has come is not sent: the connection is closed.
+func (c *conn) isWritten() bool {
+	select {
+	case <-c.written:
+		return c.writeErr == nil
+	default:
+		return false
+	}
+}
+
+// endWrite stops the writing of the request. It returns an error if the connection was lost
+// while it was written. The kernel reports a reset once: after the writer has received it, the
+// reader finds what seems to be an orderly end. A target that has ended its response and then
+// closes the connection leaves a broken pipe.
+func (c *conn) endWrite() error {
+	_ = c.socket.SetWriteDeadline(time.Unix(1, 0))
+	<-c.written
+	if errors.Is(c.writeErr, os.ErrDeadlineExceeded) || errors.Is(c.writeErr, syscall.EPIPE) {
+		return nil
+	}
+	return c.writeErr
+}
+
 // maxSyncWriteBytes is the size up to which a request is written before its
 // response is read. It fits the socket buffers of a connection.
 const maxSyncWriteBytes = 16 << 10
