--- a/internal/connection/acceptor/reader.go
+++ b/internal/connection/acceptor/reader.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	"golang.org/x/net/http/httpguts"
 
 	"oriolecourse.example/oriolecourse/internal/connection/reserver"
 	"oriolecourse.example/oriolecourse/internal/connection/scanner"
@@ -31,11 +30,8 @@
 	if err != nil {
 		return nil, &requestError{http.StatusBadRequest, err}
 	}
-	for line := range bytes.Lines(head[bytes.IndexByte(head, '\n')+1:]) {
-		name, _, found := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
-		if found && !httpguts.ValidHeaderFieldName(string(name)) {
-			return nil, &requestError{http.StatusBadRequest, trace.BadParameter("the header field name %q is not valid", name)}
-		}
+	if err := scanner.CheckFieldNames(head); err != nil {
+		return nil, &requestError{http.StatusBadRequest, err}
 	}
 	lower := bytes.ToLower(head)
 	if bytes.Contains(lower, []byte("\ncontent-length:")) && bytes.Contains(lower, []byte("\ntransfer-encoding:")) {
--- a/internal/connection/exchanger/body.go
+++ b/internal/connection/exchanger/body.go
@@ -1,7 +1,6 @@
 package exchanger
 
 import (
-	"bufio"
 	"bytes"
 	"io"
 	"net/http"
@@ -12,9 +11,6 @@
 )
 
 const (
-	// maxHeadBytes bounds the head of a response. It is several times what common servers
-	// and proxies allow for a header.
-	maxHeadBytes = 64 << 10
 	// maxSkippedBytes bounds the body of a response to another request, which is read only
 	// to find the next response.
 	maxSkippedBytes = 1 << 20
@@ -31,16 +27,6 @@
 // errTooLarge is returned for a body that exceeds its limit.
 var errTooLarge = trace.LimitExceeded("the body of the target's response exceeds its size limit")
 
-// readHead reads the head of one response.
-func (c *conn) readHead(method string) (*http.Response, error) {
-	head, err := scanner.ReadHead(c.reader, maxHeadBytes)
-	if err != nil {
-		return nil, trace.Wrap(err, "the head of the target's response is incomplete or too long")
-	}
-	parsed, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), &http.Request{Method: method})
-	return parsed, trace.Wrap(err, "the target's response is not valid HTTP")
-}
-
 // hasBody reports whether a body follows the head of a response.
 func hasBody(parsed *http.Response, method string) bool {
 	return method != http.MethodHead && parsed.StatusCode >= http.StatusOK &&
--- /dev/null
+++ b/internal/connection/exchanger/head.go
@@ -0,0 +1,48 @@
+package exchanger
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+
+	"github.com/gravitational/trace"
+
+	"oriolecourse.example/oriolecourse/internal/connection/scanner"
+)
+
+// maxHeadBytes bounds the head of a response. It is several times what common servers
+// and proxies allow for a header.
+const maxHeadBytes = 64 << 10
+
+// readHead reads the head of one response.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	head, err := scanner.ReadHead(c.reader, maxHeadBytes)
+	if err != nil {
+		return nil, trace.Wrap(err, "the head of the target's response is incomplete or too long")
+	}
+	if err := checkLines(head); err != nil {
+		return nil, err
+	}
+	if err := scanner.CheckFieldNames(head); err != nil {
+		return nil, trace.Wrap(err, "the target's response is not valid HTTP")
+	}
+	parsed, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), &http.Request{Method: method})
+	return parsed, trace.Wrap(err, "the target's response is not valid HTTP")
+}
+
+// checkLines returns an error for a head with a line that ends unlike the first one, or that
+// continues the line before it (RFC 9112, 2.2 and 5.2). Such lines cannot be told from a field
+// whose name begins with a line feed or a blank.
+func checkLines(head []byte) error {
+	first, fields, _ := bytes.Cut(head, []byte("\n"))
+	hasCarriageReturn := bytes.HasSuffix(first, []byte("\r"))
+	for line := range bytes.Lines(fields) {
+		switch {
+		case bytes.HasSuffix(line, []byte("\r\n")) != hasCarriageReturn:
+			return trace.BadParameter("the lines of the response's head end differently")
+		case line[0] == ' ' || line[0] == '\t':
+			return trace.BadParameter("the response's head has a continued line")
+		}
+	}
+	return nil
+}
--- a/internal/connection/scanner/scanner.go
+++ b/internal/connection/scanner/scanner.go
@@ -7,6 +7,7 @@
 	"net/http/httputil"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxTrailerBytes bounds the trailer of a chunked body. Trailers are not passed on.
@@ -40,6 +41,21 @@
 	}
 }
 
+// maxQuotedBytes bounds what an error repeats of a message.
+const maxQuotedBytes = 64
+
+// CheckFieldNames returns an error if a line of a head names a field by anything but a token.
+// Parsers differ in what they take such a line for, and with it in where the body ends.
+func CheckFieldNames(head []byte) error {
+	for line := range bytes.Lines(head[bytes.IndexByte(head, '\n')+1:]) {
+		name, _, found := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		if found && !httpguts.ValidHeaderFieldName(string(name)) {
+			return trace.BadParameter("the header field name %.*q is not valid", maxQuotedBytes, name)
+		}
+	}
+	return nil
+}
+
 // NewChunkedReader returns a reader of the chunked body that follows a head in r. It
 // reads up to the end of the trailer. Chunk lines and the trailer are bounded.
 func NewChunkedReader(r *bufio.Reader) io.Reader {
