--- a/internal/connection/sender/pool.go
+++ b/internal/connection/sender/pool.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 
 	"github.com/gravitational/trace"
+
+	"oriolecourse.example/oriolecourse/internal/connection/checker"
 )
 
 // pool holds the connections to one target.
@@ -106,5 +108,20 @@
 	if s.OnConnect != nil {
 		s.OnConnect(target)
 	}
-	return &countedConn{Conn: c, open: &p.open}, nil
+	return &countedConn{Conn: checker.New(c), open: &p.open}, nil
+}
+
+// countedConn is a connection that decrements the count of its pool when it is
+// closed for the first time.
+type countedConn struct {
+	*checker.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(func() { c.open.Add(-1) })
+	return err
 }
--- a/internal/connection/sender/sender.go
+++ b/internal/connection/sender/sender.go
@@ -121,7 +121,7 @@
 	connectionTrace := &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
 			sent.Store(true)
-			i.Conn.(*countedConn).expectResponse()
+			i.Conn.(*countedConn).ExpectResponse()
 		},
 	}
 	request := &http.Request{
