store, watcher: a response with an odd head is no listing and no document

The readers of the store and of the documents took responses in whose head the name of a field held a blank or began with one. A broken 'Store-Era' then counted as none, so a listing of an earlier or later era passed for one of the present; in the platform's documents a line feed before a name made the rest of the head a part of the document.

Change: their connections check heads, by package checker, which also bounds them by 64 KiB.

--- a/internal/process/watcher/watcher.go
+++ b/internal/process/watcher/watcher.go
@@ -17,6 +17,7 @@
 	"github.com/gravitational/trace"
 	"github.com/uber-go/tally/v4"
 
+	"oriolecourse.example/oriolecourse/internal/connection/checker"
 	"oriolecourse.example/oriolecourse/internal/process/adopter"
 	"oriolecourse.example/oriolecourse/internal/version/parser"
 )
@@ -72,7 +73,7 @@
 	}
 	w.client = &http.Client{
 		Transport: &http.Transport{
-			DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:           checker.Dial(&net.Dialer{Timeout: dialTimeout}),
 			ResponseHeaderTimeout: LongPollWait + callTimeout,
 			MaxIdleConnsPerHost:   len(kindNames),
 		},
@@ -231,7 +232,7 @@
 	address := strings.TrimSuffix(l.Platform, "/") + l.kind.requestURI(after, wait)
 	var request *http.Request
 	var err error
-	if request, err = http.NewRequestWithContext(ctx, http.MethodGet, address, nil); err != nil {
+	if request, err = http.NewRequestWithContext(checker.Trace(ctx), http.MethodGet, address, nil); err != nil {
 		return nil, trace.Wrap(err, "the platform's base URL is not valid, want one such as http://10.0.0.1:8500")
 	}
 	var response *http.Response
