--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -10,8 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"oriolecourse.example/oriolecourse/internal/connection/reserver"
 	"oriolecourse.example/oriolecourse/internal/connection/streamer"
 )
@@ -227,6 +225,3 @@
 		a.OnError(remote, status, cause)
 	}
 }
-
-// errBodyMemory is returned for a request for whose body, or response, no memory is left.
-var errBodyMemory = trace.LimitExceeded("the bodies of requests and responses exceed the memory that is reserved for them")
--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -13,6 +13,7 @@
 
 	"github.com/gravitational/trace"
 
+	"oriolecourse.example/oriolecourse/internal/connection/reserver"
 	"oriolecourse.example/oriolecourse/internal/connection/scanner"
 )
 
@@ -178,7 +179,7 @@
 		}
 	}
 	if c.acceptor.Memory.Full() {
-		return nil, nil, &requestError{http.StatusServiceUnavailable, errBodyMemory}
+		return nil, nil, &requestError{http.StatusServiceUnavailable, reserver.ErrFull}
 	}
 	body, reserved, err := c.readBody(h, limits.MaxBodyBytes)
 	if err != nil {
@@ -208,11 +209,11 @@
 	if h.ContentLength == 0 {
 		return nil, 0, nil
 	}
-	body, reserved, err = readReserved(&deadlineReader{c, bodyReader(c.reader, h)}, h.ContentLength, int64(maxBytes), c.acceptor.bodies)
+	body, reserved, err = c.acceptor.bodies.ReadBody(&deadlineReader{c, bodyReader(c.reader, h)}, h.ContentLength, int64(maxBytes), 0)
 	switch {
-	case errors.Is(err, errBodyMemory):
+	case errors.Is(err, reserver.ErrFull):
 		return nil, 0, &requestError{http.StatusServiceUnavailable, err}
-	case errors.Is(err, errBodyTooLarge):
+	case errors.Is(err, reserver.ErrTooLarge):
 		return nil, 0, &requestError{http.StatusRequestEntityTooLarge, err}
 	case err != nil:
 		return nil, 0, c.classifyReadError(err)
--- a/internal/connection/acceptor/reader.go
+++ b/internal/connection/acceptor/reader.go
@@ -9,13 +9,9 @@
 
 	"github.com/gravitational/trace"
 
-	"oriolecourse.example/oriolecourse/internal/connection/reserver"
 	"oriolecourse.example/oriolecourse/internal/connection/scanner"
 )
 
-// errBodyTooLarge is returned for a body that exceeds its limit.
-var errBodyTooLarge = trace.LimitExceeded("the request body exceeds its size limit")
-
 // readHead reads the head of a request. Empty lines before it are skipped (RFC 9112, 2.2).
 func readHead(r *bufio.Reader, maxBytes int) ([]byte, error) {
 	head, err := scanner.ReadHead(r, maxBytes)
@@ -62,55 +58,3 @@
 	r.conn.extendReading(time.Now().Add(bodyTimeout))
 	return r.body.Read(p)
 }
-
-// firstBufferBytes is the size of the first buffer for a body of unknown length. It counts
-// as held until the response is written, however short the body is.
-const firstBufferBytes = 512
-
-// readReserved reads a body of at most maxBytes into memory that it takes from m. The
-// length is -1 if it is unknown; memory for a known length is taken before anything is
-// read. It returns the body and the bytes that it has taken, none if it fails.
-func readReserved(body io.Reader, length, maxBytes int64, m *reserver.Reserver) (content []byte, size int64, err error) {
-	if size = min(firstBufferBytes, maxBytes); length >= 0 {
-		size = length
-	}
-	if !m.Take(size) {
-		return nil, 0, errBodyMemory
-	}
-	content = make([]byte, 0, size)
-	for err == nil {
-		switch {
-		case int64(len(content)) < size:
-			var n int
-			n, err = body.Read(content[len(content):size])
-			content = content[:len(content)+n]
-		case length >= 0:
-			return content, size, nil
-		case size == maxBytes:
-			err = readEnd(body)
-		case !m.Take(min(2*size, maxBytes)):
-			err = errBodyMemory
-		default:
-			m.Release(size)
-			size = min(2*size, maxBytes)
-			content = append(make([]byte, 0, size), content...)
-		}
-	}
-	switch {
-	case err == io.EOF && (length < 0 || int64(len(content)) == length):
-		return content, size, nil
-	case err == io.EOF:
-		err = io.ErrUnexpectedEOF
-	}
-	m.Release(size)
-	return nil, 0, err
-}
-
-// readEnd returns io.EOF if nothing follows in a body.
-func readEnd(body io.Reader) error {
-	var next [1]byte
-	if _, err := io.ReadFull(body, next[:]); err != nil {
-		return err
-	}
-	return errBodyTooLarge
-}
--- a/internal/connection/acceptor/stream_test.go
+++ b/internal/connection/acceptor/stream_test.go
@@ -1,7 +1,6 @@
 package acceptor
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -166,32 +165,3 @@
 	m.Release(1000)
 	require.Equal(t, http.StatusOK, get())
 }
-
-// TestBodiesOfUnknownLength guards against memory that is not taken, or not given back, for
-// a chunked body at and beyond each limit.
-func TestBodiesOfUnknownLength(t *testing.T) {
-	for _, c := range []struct {
-		size, length, maxBytes, memory int64
-		err                            error
-	}{
-		{100, -1, 100, 1 << 20, nil},
-		{101, -1, 100, 1 << 20, errBodyTooLarge},
-		{9000, -1, 100_000, 1 << 20, nil},
-		{9000, -1, 100_000, 9000, errBodyMemory},
-		{9000, 9000, 9000, 9000, nil},
-		{9000, 9000, 9000, 8999, errBodyMemory},
-		{8999, 9000, 9000, 9000, io.ErrUnexpectedEOF},
-		{4096, -1, 8192, 1 << 20, nil},
-		{0, -1, 8192, 1 << 20, nil},
-	} {
-		m := reserver.New(c.memory, nil)
-		text := strings.Repeat("x", int(c.size))
-		body, taken, err := readReserved(bufio.NewReader(strings.NewReader(text)), c.length, c.maxBytes, m)
-		require.ErrorIs(t, err, c.err, "%+v", c)
-		require.Equal(t, taken, m.Held(), "%+v", c)
-		if c.err == nil {
-			require.Equal(t, text, string(body))
-			require.GreaterOrEqual(t, taken, c.size)
-		}
-	}
-}
--- a/internal/connection/exchanger/body.go
+++ b/internal/connection/exchanger/body.go
@@ -82,16 +82,12 @@
 	return n, err
 }
 
-// readBody reads a body of at most maxBytes. The length is -1 if it is unknown.
-func readBody(body io.Reader, length, maxBytes int64) ([]byte, error) {
-	if length > maxBytes {
-		return nil, errTooLarge
-	}
-	content, err := readUpTo(body, length, maxBytes+1)
-	if err == nil && int64(len(content)) > maxBytes {
-		return nil, errTooLarge
-	}
-	return content, err
+// readWhole reads a body of at most maxBytes. While memory is short, it reads only small ones.
+func (c *conn) readWhole(body io.Reader, length, maxBytes int64) ([]byte, error) {
+	content, reserved, err := c.exchanger.Whole.ReadBody(body, length, maxBytes, minPartBytes)
+	// Whoever holds the response counts it from now on.
+	c.exchanger.Whole.Release(reserved)
+	return content, trace.Wrap(err, "the target's response cannot be read as a whole")
 }
 
 // readUpTo reads a body to its end, but at most maxBytes.
--- a/internal/connection/exchanger/conn.go
+++ b/internal/connection/exchanger/conn.go
@@ -280,7 +280,7 @@
 	if q.Stream && parsed.StatusCode < http.StatusInternalServerError && !q.NotExecuted(response) {
 		response.Body, complete, err = c.readFirst(body, length)
 	} else {
-		response.Body, err = readBody(body, length, cmp.Or(q.MaxResponseBytes, maxResponseBytes))
+		response.Body, err = c.readWhole(body, length, cmp.Or(q.MaxResponseBytes, maxResponseBytes))
 	}
 	if err != nil {
 		return nil, err
--- a/internal/connection/exchanger/exchanger.go
+++ b/internal/connection/exchanger/exchanger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/netip"
 	"slices"
@@ -48,6 +49,9 @@
 	LocalAddress netip.Addr
 	// Memory counts the first parts of streamed responses. It may be nil.
 	Memory *reserver.Reserver
+	// Whole counts the bodies that are read as a whole, until they are complete. New sets one
+	// without a limit.
+	Whole *reserver.Reserver
 	// OnConnect is called for every new connection. It may be nil.
 	OnConnect func(target netip.AddrPort)
 	// OnContact is called with the outcome of the first exchange of every connection that
@@ -70,7 +74,7 @@
 
 // New returns an Exchanger without connections.
 func New() *Exchanger {
-	return &Exchanger{pools: map[netip.AddrPort]*pool{}}
+	return &Exchanger{pools: map[netip.AddrPort]*pool{}, Whole: reserver.New(math.MaxInt64, nil)}
 }
 
 // errAllInUse is returned when the greatest number of connections to a target is
--- a/internal/process/composer/composer.go
+++ b/internal/process/composer/composer.go
@@ -58,11 +58,13 @@
 	// memoryShare is the share of Options.MemoryBytes that the bodies of requests and
 	// responses may use. Documents, connections and garbage need memory too.
 	memoryShare = 0.5
-	// requestMemoryShare and aheadMemoryShare are the parts for request bodies and for what
-	// is read ahead of slow clients. Their sum is less than memoryShare, so that neither
-	// leaves other requests without room.
-	requestMemoryShare = 0.35
-	aheadMemoryShare   = 0.1
+	// requestMemoryShare and responseMemoryShare are the parts for request bodies and for what
+	// is read of responses. Their sum is less than memoryShare, so that neither leaves other
+	// requests without room. aheadMemoryShare is the part of the latter for what is read ahead
+	// of slow clients.
+	requestMemoryShare  = 0.35
+	responseMemoryShare = 0.14
+	aheadMemoryShare    = 0.1
 	// reservedFiles is the number of file descriptors that are not used for client
 	// connections. They are left for connections to targets, peers and the platform,
 	// and for Options.Handlers.
@@ -208,10 +210,11 @@
 	share := func(part float64) int64 { return int64(part * float64(o.MemoryBytes)) }
 	i.memory = reserver.New(share(memoryShare), nil)
 	i.seeker = &seeker.Seeker{Random: rand.IntN}
+	responses := reserver.New(share(responseMemoryShare), i.memory)
 	i.forwarder = forwarder.New(forwarder.Options{
 		Dialect: o.Dialect, Zone: o.Zone, LocalAddress: o.TargetsFrom, Budget: o.Budget, FirstStart: o.FirstStart,
-		Memory: reserver.New(share(aheadMemoryShare), i.memory),
-		Table:  i.tables.Current, FleetSize: i.fleetSize, Weight: func() float64 { return math.Float64frombits(i.weight.Load()) },
+		Memory: reserver.New(share(aheadMemoryShare), responses), WholeMemory: responses,
+		Table: i.tables.Current, FleetSize: i.fleetSize, Weight: func() float64 { return math.Float64frombits(i.weight.Load()) },
 		SpreadRumor: i.spreadRumor, OnTargetReplaced: i.targetReplaced,
 		OnTargetLeaving: i.targetLeaving, OnTargetWarmup: i.targetWarmup, CanSearch: i.canSearch, Search: i.search,
 		LimitOwner: i.limitOwner, AskPermit: i.askPermit, SpreadLimit: i.spreadLimit,
--- a/internal/process/forwarder/execution.go
+++ b/internal/process/forwarder/execution.go
@@ -227,7 +227,7 @@
 		if status < http.StatusInternalServerError {
 			return e.clientResponse(r)
 		}
-		e.lastResponse = r.response
+		e.keepFailure(r.response)
 	}
 	if e.running+e.placing == 0 && now.Before(e.deadline) && e.takeRetry(r, now) {
 		e.place(false)
@@ -327,8 +327,21 @@
 	return &acceptor.Response{Status: http.StatusGatewayTimeout}, timedOut
 }
 
+// keepFailure keeps a response for the client in place of an earlier one, or none. Its body
+// counts until the end of the execution; after that, the acceptor counts what it writes.
+func (e *execution) keepFailure(response *sender.Response) {
+	m := e.forwarder.options.WholeMemory
+	if e.lastResponse != nil {
+		m.Release(int64(len(e.lastResponse.Body)))
+	}
+	if e.lastResponse = response; response != nil {
+		m.Force(int64(len(response.Body)))
+	}
+}
+
 // end ends what is still in progress except for the rest of the response.
 func (e *execution) end() {
+	e.keepFailure(nil)
 	e.cancelRemaining()
 	if !e.streams {
 		e.finish()
--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -76,8 +77,9 @@
 	Budget       Budget
 	// FirstStart means that no instance has run before, so that nothing of the budget is used.
 	FirstStart bool
-	// Memory counts what is held of streamed responses.
-	Memory *reserver.Reserver
+	// Memory counts what is held of streamed responses, and WholeMemory the responses that are
+	// read as a whole. Without WholeMemory those have no common bound.
+	Memory, WholeMemory *reserver.Reserver
 	// Table returns the routing table in force, or nil before the first one.
 	Table func() *router.Table
 	// FleetSize returns the number of instances that may be running, this one included. They
@@ -161,6 +163,9 @@
 
 // New returns a forwarder without targets.
 func New(o Options) *Forwarder {
+	if o.WholeMemory == nil {
+		o.WholeMemory = reserver.New(math.MaxInt64, nil)
+	}
 	f := &Forwarder{
 		options:     o,
 		started:     time.Now(),
@@ -176,7 +181,7 @@
 		f.started = f.started.Add(-o.Budget.RetryWindow)
 	}
 	f.budget.Store(&o.Budget)
-	f.exchanger.LocalAddress, f.exchanger.Memory = o.LocalAddress, o.Memory
+	f.exchanger.LocalAddress, f.exchanger.Memory, f.exchanger.Whole = o.LocalAddress, o.Memory, o.WholeMemory
 	f.exchanger.OnConnect = func(netip.AddrPort) { f.counters.connections.Inc(1) }
 	f.exchanger.OnContact = f.recordContact
 	return f
