--- a/internal/request/placer/ration.go
+++ b/internal/request/placer/ration.go
@@ -16,7 +16,7 @@
 func (p *Placer) rationed(t *Ticket) rationer.Request {
 	return rationer.Request{
 		Kind: t.Kind, Priority: t.Priority, Arrived: t.Arrived, LatestStart: p.latestStart(t),
-		LastStart: t.Deadline.Add(-p.shortestWorkTime(t)), ReturnsLate: t.returnsLate,
+		LastStart: t.lastStart(p.shortestWorkTime(t)), ReturnsLate: t.returnsLate,
 	}
 }
 
--- a/internal/request/placer/reject.go
+++ b/internal/request/placer/reject.go
@@ -16,7 +16,7 @@
 		return Rejection{Ticket: t, RetryAfter: max(p.spread(wait), minRetryAfter), Reason: r}, true
 	}
 	wait := p.expectedWait(rank)
-	last := t.Deadline.Add(-p.shortestWorkTime(t))
+	last := t.lastStart(p.shortestWorkTime(t))
 	if len(usable.targets) == 0 {
 		opening, known := p.firstOpening(t, now)
 		wait = max(wait, opening.Sub(now))
--- a/internal/request/placer/step.go
+++ b/internal/request/placer/step.go
@@ -88,7 +88,7 @@
 	ends := now.Add(expected)
 	missesObjective := now.After(p.latestStart(t))
 	switch {
-	case t.endsWithStop && ends.After(t.Deadline),
+	case t.endsWithStop && now.After(t.lastStart(expected)),
 		!missesObjective && ends.After(t.ObjectiveTime), missesObjective && (slowdown > maxSlowdownPastObjective || ends.After(t.Deadline)):
 		return Grant{}, false, false
 	case slowdown > immediateSlowdown && (p.awaitsReport(usable, now) || t.rounds == 0 && !p.probesDenied):
--- a/internal/request/placer/stop.go
+++ b/internal/request/placer/stop.go
@@ -2,6 +2,11 @@
 
 import "time"
 
+// stopMargin is the multiple of its expected time that must be left for a request that is started
+// during a stop. Times of work vary, and one that does not end is cut off, while one that is
+// rejected can be served by another instance at once.
+const stopMargin = 1.5
+
 // StopAt tells the placer that the instance stops. From now on no request is started that is not
 // expected to end by the given time; one that cannot is rejected at once.
 func (p *Placer) StopAt(end time.Time) {
@@ -18,3 +23,11 @@
 		t.Deadline, t.endsWithStop = p.stopEnd, true
 	}
 }
+
+// lastStart returns the last moment at which a request that takes a given time may be started.
+func (t *Ticket) lastStart(expected time.Duration) time.Time {
+	if t.endsWithStop {
+		expected = time.Duration(stopMargin * float64(expected))
+	}
+	return t.Deadline.Add(-expected)
+}
--- a/internal/request/placer/stop_test.go
+++ b/internal/request/placer/stop_test.go
@@ -55,6 +55,26 @@
 	}
 }
 
+// Guards against a request that is started shortly before the end of a stop, takes a little longer
+// than usual and is cut off: targets that may need half as long again get none, and what none can
+// serve any more is rejected at once.
+func TestStopLeavesTimeForWorkThatVaries(t *testing.T) {
+	const work = 160 * time.Millisecond // assumedWorkShare of the latency objective
+	for left := work; left <= 2*work; left += 10 * time.Millisecond {
+		f := newFixture(t, 1, 0)
+		f.StopAt(f.now.Add(left))
+		f.report("a0", 0, 1)
+		q := f.ticket()
+		q.Deadline = f.now.Add(8 * time.Second)
+		a := f.submit(q)
+		require.Equal(t, left >= work*3/2, len(a.Grants) == 1, "%s left", left)
+		require.Equal(t, left < work*3/2, len(a.Rejections) == 1, "%s left", left)
+		for _, r := range a.Rejections {
+			require.Equal(t, Stopping, r.Reason)
+		}
+	}
+}
+
 // Guards against a stop that changes what is right for requests that end before it.
 func TestStopLeavesEarlierDeadlinesAlone(t *testing.T) {
 	f := newFixture(t, 1, 0)
