--- a/internal/connection/exchanger/head_test.go
+++ b/internal/connection/exchanger/head_test.go
@@ -15,23 +15,33 @@
 )
 
 // requireNoAnswer checks that a response is not taken for an answer, read whole and streamed, for
-// each kind of request, and that the caller does not wait for more.
+// each kind of request, nor that to a probe, which has no identifier.
 func requireNoAnswer(t *testing.T, response string) {
 	t.Helper()
-	p := startTarget(t, func(c net.Conn, _ string, _ int) bool {
-		_, _ = io.WriteString(c, response)
-		return true
-	})
 	for _, stream := range []bool{false, true} {
 		q := newRequest("1", !stream)
 		q.Stream = stream
-		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-		_, effect, err := New().Send(ctx, p.address, q)
-		require.NoError(t, ctx.Err(), "waits for more than %q", response)
-		cancel()
-		require.Error(t, err, "%q", response)
-		require.Equal(t, sender.Lost, effect, "%q", response)
+		requireLost(t, q, response)
 	}
+	q := newRequest("", false)
+	q.Header = nil
+	requireLost(t, q, strings.ReplaceAll(response, "Id: 1\r\n", "Y: 1\r\n"))
+}
+
+// requireLost checks that a request gets no answer from a target that sends a response and keeps
+// the connection open, and that it does not wait for more.
+func requireLost(t *testing.T, q *Request, response string) {
+	t.Helper()
+	p := startTarget(t, func(c net.Conn, _ string, _ int) bool {
+		_, _ = io.WriteString(c, response)
+		return true
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, effect, err := New().Send(ctx, p.address, q)
+	require.NoError(t, ctx.Err(), "waits for more than %q", response)
+	require.Error(t, err, "%q", response)
+	require.Equal(t, sender.Lost, effect, "%q", response)
 }
 
 // insertions returns a response with a byte at each position of the names of its fields.
--- a/internal/connection/exchanger/reset_test.go
+++ b/internal/connection/exchanger/reset_test.go
@@ -100,6 +100,38 @@
 	}
 }
 
+// Guards against the same in responses that are read in other ways: behind an interim one or one
+// to another request, as a failure, and as a refusal, after which the request would run again.
+func TestResetBesideAnUploadEndsNoOtherResponse(t *testing.T) {
+	const times = 12
+	for name, head := range map[string]string{
+		"interim": "HTTP/1.1 100 Continue\r\n\r\n" + unframedHead,
+		"skipped": completeResponse("other", "wrong") + unframedHead,
+		"failure": strings.Replace(unframedHead, "200 OK", "500 No", 1),
+		"refusal": strings.Replace(unframedHead, "200 OK\r\n", "503 No\r\nNot-Executed: 1\r\n", 1),
+		"old":     strings.Replace(unframedHead, "HTTP/1.1", "HTTP/1.0", 1),
+	} {
+		for _, uploaded := range []int{1 << 20, 8 << 20} {
+			for _, pause := range []time.Duration{0, time.Millisecond, 10 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%s, upload %d, reset after %s", name, uploaded, pause), func(t *testing.T) {
+					t.Parallel()
+					target := startUploadTarget(t, 0, func(c *net.TCPConn) {
+						_, _ = io.WriteString(c, head+"part")
+						time.Sleep(pause)
+						_ = c.SetLinger(0)
+					})
+					for _, stream := range []bool{false, true} {
+						for range times {
+							_, err := upload(t, target, uploaded, stream)
+							require.Error(t, err, "stream %t", stream)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
 // awaitDelivery waits until the peer has received all that was written, and the end of it.
 func awaitDelivery(c *net.TCPConn) {
 	raw, err := c.SyscallConn()
