--- a/internal/connection/checker/checker.go
+++ b/internal/connection/checker/checker.go
@@ -12,11 +12,8 @@
 	"oriolecourse.example/oriolecourse/internal/connection/scanner"
 )
 
-// maxHeadBytes bounds the head of a response.
-const maxHeadBytes = 64 << 10
-
 // Conn is a connection of an http.Transport. A Read fails at the end of a head that
-// scanner.CheckLines rejects, and within one that is longer than 64 KiB.
+// scanner.CheckLines rejects, and within one that exceeds scanner.MaxResponseHeadBytes.
 type Conn struct {
 	net.Conn
 
@@ -52,7 +49,7 @@
 func (c *Conn) ExpectResponse() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.head = &scanner.Head{MaxBytes: maxHeadBytes}
+	c.head = &scanner.Head{MaxBytes: scanner.MaxResponseHeadBytes}
 }
 
 // Read implements net.Conn.
@@ -82,7 +79,7 @@
 		_, status, _ := bytes.Cut(c.head.Bytes(), []byte(" "))
 		isInterim := bytes.HasPrefix(bytes.TrimLeft(status, " "), []byte("1"))
 		if c.head = nil; isInterim {
-			c.head = &scanner.Head{MaxBytes: maxHeadBytes}
+			c.head = &scanner.Head{MaxBytes: scanner.MaxResponseHeadBytes}
 		}
 	}
 	return nil
--- a/internal/connection/exchanger/head.go
+++ b/internal/connection/exchanger/head.go
@@ -11,13 +11,9 @@
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
 )
 
-// maxHeadBytes bounds the head of a response. It is several times what common servers
-// and proxies allow for a header.
-const maxHeadBytes = 64 << 10
-
 // readHead reads the head of one response.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	head, err := scanner.ReadHead(c.reader, maxHeadBytes)
+	head, err := scanner.ReadHead(c.reader, scanner.MaxResponseHeadBytes)
 	if err != nil {
 		return nil, trace.Wrap(err, "the head of the target's response is incomplete or too long")
 	}
--- a/internal/connection/scanner/head.go
+++ b/internal/connection/scanner/head.go
@@ -8,6 +8,10 @@
 	"golang.org/x/net/http/httpguts"
 )
 
+// MaxResponseHeadBytes bounds the head of a response. It is several times what common servers
+// and proxies allow for a header.
+const MaxResponseHeadBytes = 64 << 10
+
 // Head collects the head of a message: the start line and the header, up to the empty line.
 // It includes the empty lines before the start line.
 type Head struct {
