Tests: an early response is delivered before its target waits or resets

Traced: the target closed the connection 50 ms after it had written the response, with the upload unread, which resets it; the reader, held up by other tests, had not received the end by then, and the kernel discards what is not delivered. Both the reader and the writer report 'connection reset by peer', which they do not after an end in order: the response was cut, and the code was right.

Each target of the test now waits until its response and its end are delivered, then does what the case says: the test asks for no less, since what it sends really ends in order.

--- a/internal/connection/exchanger/reset_test.go
+++ b/internal/connection/exchanger/reset_test.go
@@ -150,7 +150,7 @@
 	endings := map[string]func(c *net.TCPConn){
 		"reads on": func(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c) },
 		"waits":    func(*net.TCPConn) { time.Sleep(50 * time.Millisecond) },
-		"resets":   func(c *net.TCPConn) { awaitDelivery(c); _ = c.SetLinger(0) },
+		"resets":   func(c *net.TCPConn) { _ = c.SetLinger(0) },
 	}
 	for _, uploaded := range []int{0, 15 << 10, 100 << 10, 1 << 20, 8 << 20} {
 		for _, answered := range []int{0, 3, firstPartBytes + 1000} {
@@ -160,6 +160,8 @@
 					target := startUploadTarget(t, 0, func(c *net.TCPConn) {
 						_, _ = io.WriteString(c, unframedHead+strings.Repeat("y", answered))
 						_ = c.CloseWrite()
+						// A reset discards what has not been delivered.
+						awaitDelivery(c)
 						end(c)
 					})
 					for _, stream := range []bool{false, true} {
