--- a/internal/connection/exchanger/memory_test.go
+++ b/internal/connection/exchanger/memory_test.go
@@ -60,7 +60,7 @@
 
 // Guards against an instance that runs out of memory, with the requests of other clients: targets
 // send bytes without end in a head or in a body that is read as a whole, to many requests at once.
-// Small responses, and one that is read meanwhile, arrive.
+// Small responses of other requests arrive meanwhile.
 func TestEndlessResponsesShareTheMemory(t *testing.T) {
 	const requests = 100
 	chunk := "10000\r\n" + strings.Repeat("x", 0x10000) + "\r\n"
