Replace case 15: an answer is cut by the close behind it

The former case 15 was shown by case 7 already. Cause of the new one: after its last response a connection is closed 500 ms later, whether or not the client has received it; what the client sends then resets the rest away.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -17,11 +17,11 @@
 // cases holds the cases by number. Each returns whether the rule was broken; an error means
 // that the case could not run. The disruption is left out unless trouble is set.
 var cases = map[string]func(f *fleet, trouble bool) (bool, error){
-	"refusal":  ownRefusal,
-	"weights":  largeWeights,
-	"foreign":  foreignEntry,
-	"upload":   slowUpload,
-	"pipeline": brokenPipeline,
+	"refusal": ownRefusal,
+	"weights": largeWeights,
+	"foreign": foreignEntry,
+	"upload":  slowUpload,
+	"linger":  slowReader,
 }
 
 func main() { os.Exit(run()) }
