forwarder: a client never gets a target's "not run" for a request that has run

What callers saw: an order got status 503, which tells a client that it has not run and never will. The client sent it again, as it may, and the order ran twice.

Cause: a target that had run a request answered 503, 429 or 408 without saying that it had not. The forwarder knew that the request had run and still passed the status on. Another instance that relays passed it on too. An instance that was cut off after an attempt at an idempotent request answered 421, which the instance that had relayed it took for "not run".

Evidence: the log has "attempt failed effect=done status=503" and then "request ended outcome=failed status=503" for such an order; the client's answer bears the target's signature.

Change: where the forwarder learns that a target has run a request, it replaces a response with status 408, 421, 429 or 503 by its own 502, without header and body. Of the responses of another instance, only a rejection may bear such a status, and only if this instance has sent nothing; an instance of an earlier build still passes on what targets say. A request that may have run is not given back with 421. What placing, retries, budgets, pauses and the quarantine learn from the response is unchanged, so a true refusal stays 503. New: the log line "status replaced" and the counter statuses_replaced.

The fixture of TestRejectionElsewhereDoesNotHideAnAttempt now sends the Retry-After that each rejection of an instance has; what the test checks is unchanged.

Tests: TestStatusOfARunIsNoRefusal failed before (429 in place of 502, directly and through another instance), TestStatusOfARunThroughAnEarlierBuildIsNoRefusal too (503 in place of 502); TestRelayedRequestThatMayHaveRunIsNotGivenBack needs the new function.

--- a/internal/process/forwarder/counters.go
+++ b/internal/process/forwarder/counters.go
@@ -95,6 +95,11 @@
 	c.scope.Tagged(map[string]string{"service": service}).Counter("grants_revoked").Inc(1)
 }
 
+// countReplaced counts a response that the client does not get because of its status.
+func (c *counters) countReplaced(service string) {
+	c.scope.Tagged(map[string]string{"service": service}).Counter("statuses_replaced").Inc(1)
+}
+
 // countSilent counts a request that its target has dropped without a response.
 func (c *counters) countSilent(service string) {
 	c.scope.Tagged(map[string]string{"service": service}).Counter("silent_connections").Inc(1)
--- a/internal/process/forwarder/execution.go
+++ b/internal/process/forwarder/execution.go
@@ -109,7 +109,7 @@
 		case r := <-e.results:
 			e.running--
 			if response := e.handleResult(r); response != nil {
-				return response, answered
+				return response, outcomeOf(response.Status)
 			}
 		case <-e.hedgeTimer.C:
 			e.startHedge()
@@ -120,6 +120,14 @@
 	return e.conclude()
 }
 
+// outcomeOf returns the outcome of a request that gets a target's response, or one in place of it.
+func outcomeOf(status int) outcome {
+	if status >= http.StatusInternalServerError {
+		return failed
+	}
+	return answered
+}
+
 // place asks the placer for a target.
 func (e *execution) place(hedge bool) {
 	e.placing++
@@ -224,6 +232,7 @@
 		e.allUnsent = false
 	case sender.Done:
 		e.mayHaveRun = true
+		r = e.withoutPromise(r, now)
 		if status < http.StatusInternalServerError {
 			return e.clientResponse(r)
 		}
--- /dev/null
+++ b/internal/process/forwarder/promise.go
@@ -0,0 +1,54 @@
+package forwarder
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"oriolecourse.example/oriolecourse/internal/connection/acceptor"
+	"oriolecourse.example/oriolecourse/internal/connection/sender"
+	"oriolecourse.example/oriolecourse/internal/request/placer"
+)
+
+// promises holds the statuses that tell a client that its request has not run and never will.
+// A client then sends it again, also if it must not run twice. So they are this instance's own
+// word: no other source knows all attempts.
+var promises = map[int]bool{
+	http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
+	http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
+}
+
+// withoutPromise replaces the response to a request that has run if its status promises the
+// opposite. Nothing of the target's response is kept, since it belongs to its status.
+func (e *execution) withoutPromise(r result, now time.Time) result {
+	if !promises[r.response.Status] {
+		return r
+	}
+	e.reportReplaced(r.grant.Target.ID, r.response.Status)
+	if r.response.Rest != nil {
+		r.discard()
+		e.service.end(r.grant, placer.Canceled, nil, now)
+	}
+	r.response = &sender.Response{Status: http.StatusBadGateway}
+	return r
+}
+
+// reportReplaced counts and logs that a response was replaced because of its status. The target
+// is empty if another instance sent the response.
+func (r *request) reportReplaced(target string, status int) {
+	r.forwarder.counters.countReplaced(r.service.name)
+	_ = level.Warn(r.logger).Log("msg", "status replaced", "service", r.service.name, "target", target, "status", status)
+}
+
+// mayPromise reports whether the client may get the response of another instance, which cannot
+// know what this one has sent. One of an earlier build passes on what targets say.
+func (r *request) mayPromise(response *acceptor.Response) bool {
+	return !promises[response.Status] || !r.mayHaveRun && r.forwarder.isRejection(response)
+}
+
+// isRejection reports whether a response is one that rejection returns.
+func (f *Forwarder) isRejection(response *acceptor.Response) bool {
+	return response.Status == http.StatusServiceUnavailable && len(response.Body) == 0 &&
+		len(response.Header) == 1 && response.Header.Get(f.options.Dialect.RetryAfter) != ""
+}
--- a/internal/process/forwarder/relay.go
+++ b/internal/process/forwarder/relay.go
@@ -44,6 +44,19 @@
 
 func notTaken() *acceptor.Response { return &acceptor.Response{Status: http.StatusMisdirectedRequest} }
 
+// passOn handles a request that this instance could send to no target. One that another instance
+// has relayed goes back to it, unless it may have run: the other one would take it for a request
+// that has not.
+func (r *request) passOn(ctx context.Context) (*acceptor.Response, outcome) {
+	switch {
+	case r.isRelayed && r.mayHaveRun:
+		return &acceptor.Response{Status: http.StatusBadGateway}, unknown
+	case r.isRelayed:
+		return notTaken(), unreached
+	}
+	return r.relay(ctx)
+}
+
 // relay lets another instance serve a request that this one could send to no target. If all
 // instances refuse a request, further ones are rejected at once for some time.
 func (r *request) relay(ctx context.Context) (*acceptor.Response, outcome) {
@@ -61,8 +74,8 @@
 	route.Services = []router.WeightedService{{Service: r.service.name, Weight: 1}}
 	response, result := f.options.Relay(ctx, &q, &route)
 	switch {
-	case result == RelayAnswered && r.mayHaveRun && response.Status == http.StatusServiceUnavailable:
-		// The status says that the request has not run, which the other instance cannot know.
+	case result == RelayAnswered && !r.mayPromise(response):
+		r.reportReplaced("", response.Status)
 		return &acceptor.Response{Status: http.StatusBadGateway}, unknown
 	case result == RelayAnswered:
 		return response, relayed
--- a/internal/process/forwarder/relay_test.go
+++ b/internal/process/forwarder/relay_test.go
@@ -23,7 +23,9 @@
 	*Forwarder
 	relayed []*acceptor.Request
 	result  RelayResult
-	status  int
+	// status and header are those of the response of another instance.
+	status int
+	header http.Header
 }
 
 func newCutFixture(t *testing.T) *cutFixture {
@@ -49,7 +51,7 @@
 		Relay: func(_ context.Context, q *acceptor.Request, route *router.Route) (*acceptor.Response, RelayResult) {
 			require.Equal(t, []router.WeightedService{{Service: "parts", Weight: 1}}, route.Services)
 			f.relayed = append(f.relayed, q)
-			return &acceptor.Response{Status: f.status}, f.result
+			return &acceptor.Response{Status: f.status, Header: f.header}, f.result
 		},
 		Logger: log.NewNopLogger(), Scope: tally.NoopScope,
 	})
@@ -112,10 +114,10 @@
 // another instance rejected it.
 func TestRejectionElsewhereDoesNotHideAnAttempt(t *testing.T) {
 	f := newCutFixture(t)
-	f.status = http.StatusServiceUnavailable
+	f.status, f.header = http.StatusServiceUnavailable, http.Header{"Return": {"0.100"}}
 	q := order(time.Now())
 	table := f.options.Table()
-	r := &request{Request: q, forwarder: f.Forwarder, route: table.Match("h", "/order/1"), version: 5, service: f.service("parts"), deadline: time.Now().Add(time.Second)}
+	r := &request{Request: q, forwarder: f.Forwarder, logger: log.NewNopLogger(), route: table.Match("h", "/order/1"), version: 5, service: f.service("parts"), deadline: time.Now().Add(time.Second)}
 	response, o := r.relay(t.Context())
 	require.Equal(t, http.StatusServiceUnavailable, response.Status)
 	require.Equal(t, relayed, o)
@@ -125,6 +127,46 @@
 	require.Equal(t, unknown, o)
 }
 
+// Guards against a target's 429, 503 or 408 to a request that it has run, which reaches a client
+// through an instance of an earlier build. Only a rejection of the instance itself is true.
+func TestStatusOfARunThroughAnEarlierBuildIsNoRefusal(t *testing.T) {
+	f := newCutFixture(t)
+	for name, c := range map[string]struct {
+		status int
+		header http.Header
+		want   int
+	}{
+		"503 of a target":                  {http.StatusServiceUnavailable, http.Header{"Id": {"1"}, "Signature": {"s"}}, http.StatusBadGateway},
+		"503 of a target with Retry-After": {http.StatusServiceUnavailable, http.Header{"Return": {"1"}, "Signature": {"s"}}, http.StatusBadGateway},
+		"503 without any field":            {http.StatusServiceUnavailable, nil, http.StatusBadGateway},
+		"429 of a target":                  {http.StatusTooManyRequests, http.Header{"Return": {"1"}}, http.StatusBadGateway},
+		"408 of a target":                  {http.StatusRequestTimeout, http.Header{"Id": {"1"}}, http.StatusBadGateway},
+		"rejection":                        {http.StatusServiceUnavailable, http.Header{"Return": {"0.100"}}, http.StatusServiceUnavailable},
+		"failure":                          {http.StatusInternalServerError, http.Header{"Id": {"1"}}, http.StatusInternalServerError},
+	} {
+		f.status, f.header = c.status, c.header
+		r := f.Serve(t.Context(), order(time.Now()))
+		require.Equal(t, c.want, r.Status, name)
+		if c.want != c.status {
+			require.Empty(t, r.Header, name)
+		}
+	}
+}
+
+// Guards against status 421 to the instance that has relayed a request, after a target of this one
+// may have run it: the other instance then says that the request has not run.
+func TestRelayedRequestThatMayHaveRunIsNotGivenBack(t *testing.T) {
+	f := newCutFixture(t)
+	r := &request{Request: order(time.Now()), forwarder: f.Forwarder, service: f.service("parts"), isRelayed: true}
+	response, o := r.passOn(t.Context())
+	require.Equal(t, http.StatusMisdirectedRequest, response.Status)
+	require.Equal(t, unreached, o)
+	r.mayHaveRun = true
+	response, o = r.passOn(t.Context())
+	require.Equal(t, http.StatusBadGateway, response.Status)
+	require.Equal(t, unknown, o)
+}
+
 // Guards against a request that raises the retry budget at each instance that it passes: at
 // one that finds out while it serves the request that it reaches no target, and at the one
 // that then serves it.
--- a/internal/process/forwarder/request.go
+++ b/internal/process/forwarder/request.go
@@ -23,7 +23,8 @@
 
 // The outcomes of a request. The client's response is given for each:
 //   - answered: a target's complete response with a status below 500.
-//   - failed: a target's complete response with a status of 500 or above.
+//   - failed: a target's complete response with a status of 500 or above, or 502 in place of one
+//     with a status that would tell the client that its request has not run.
 //   - rejected: 503. No target ran the request.
 //   - unknown: 502. A target may have run the request, but no complete response
 //     arrived.
@@ -135,11 +136,8 @@
 			r.service.forgetRequest(route.Priority, time.Now())
 		}
 	}
-	switch {
-	case o == unreached && isRelayed:
-		response = notTaken()
-	case o == unreached:
-		response, o = r.relay(ctx)
+	if o == unreached {
+		response, o = r.passOn(ctx)
 	}
 	return f.finish(logger, r.service.name, o, now, response)
 }
--- a/internal/process/meter/metrics.go
+++ b/internal/process/meter/metrics.go
@@ -44,6 +44,7 @@
 	{"targets_paused", nil, "Runs of targets that want nothing from this instance now."},
 	{"targets_cold", nil, "Runs of targets that get requests by the permits of their warm-up only, in this instance's view."},
 	{"targets_limited", nil, "Runs of targets that name a limit, in this instance's view."},
+	{"statuses_replaced", []string{"service"}, "Responses with status 408, 421, 429 or 503 in whose place the client got 502. The status would have told it that its request had not run, but a target has run it, or may have."},
 	{"grants_revoked", []string{"service"}, "Requests that were not sent to the target that was chosen for them, because it became unusable in between; another one is chosen."},
 	{"zones_emptied", nil, "Availability zones that an operator has emptied, in this instance's view. If instances differ for long, one of them does not receive updates."},
 	{"emptied_requests", nil, "This instance's requests in progress at targets of emptied zones. 0 on all instances: the zones are empty."},
