router: choose the service of a split route at one cost for all weights

What callers saw: after a change of the configuration that split a route with the weights 900,000,000 and 100,000,000, no request on it was answered, at its timeout or ever; each instance used its whole processor.

Cause: the round-robin of a route began at a random point by playing up to the sum of the weights, one by one, under a mutex that all split routes share, where neither the timeout nor the client's leaving ends a request. For the same reason, that the credits were counted in weights and outlived them, after a change from 9900 to 100 to 1 to 1 one service got all requests. A sum above 64 bits ended the process, fractions refused the configuration.

Evidence: the new test on: no answer (9e8 and 1e8); a share of 0 in place of 0.5 (9900 to 100, then 1 to 1); "panic: invalid argument to IntN" (5e18 twice); not in force within 5 s (0.9 and 0.1, 2^63 twice, the greatest number). With 9900 to 100 alone requests are answered, so the start is at fault, not the cost of a choice.

Change: a service takes the request with which its phase completes a turn; the phase advances by the service's share of the requests that those before it leave. The start is one random number a service. A choice costs the same for all weights, takes no lock, and has the right chance from the first request of each instance on. The state belongs to the route of one version of the table, so it goes with a version, a service or a route. Weights are any finite numbers of at least 0; whole ones are encoded for other instances as before.

--- a/internal/process/forwarder/forwarder.go
+++ b/internal/process/forwarder/forwarder.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"math"
-	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -136,7 +135,6 @@
 	started     time.Time
 	exchanger   *exchanger.Exchanger
 	quarantiner *quarantiner.Table
-	splitter    *router.Splitter
 	limiter     *limiter.Limiter
 	admitter    *admitter.Admitter
 	misread     misread
@@ -171,7 +169,6 @@
 		started:     time.Now(),
 		exchanger:   exchanger.New(),
 		quarantiner: quarantiner.New(quarantiner.DefaultLimits),
-		splitter:    router.NewSplitter(rand.IntN),
 		limiter:     limiter.New(),
 		admitter:    admitter.New(),
 		counters:    newCounters(o.Scope),
--- a/internal/process/forwarder/relay.go
+++ b/internal/process/forwarder/relay.go
@@ -70,9 +70,7 @@
 	q.Header = q.Header.Clone()
 	left := max(r.deadline.Sub(now).Milliseconds(), 1)
 	q.Header.Set(f.options.Dialect.Deadline, strconv.FormatInt(left, 10))
-	route := *r.route
-	route.Services = []router.WeightedService{{Service: r.service.name, Weight: 1}}
-	response, result := f.options.Relay(ctx, &q, &route)
+	response, result := f.options.Relay(ctx, &q, r.route.To(r.service.name))
 	switch {
 	case result == RelayAnswered && !r.mayPromise(response):
 		r.reportReplaced("", response.Status)
--- a/internal/process/forwarder/request.go
+++ b/internal/process/forwarder/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -121,7 +122,7 @@
 	}
 	r := &request{
 		Request: q, forwarder: f, route: route, version: version, isRelayed: isRelayed,
-		service:  f.service(f.splitter.Pick(route)),
+		service:  f.service(route.Pick(rand.Uint64)),
 		deadline: now.Add(min(timeout, route.Timeout)), patience: timeout, logger: logger,
 	}
 	r.fingerprint = quarantiner.Sum("", r.service.name, route.Name, q.Method, q.RequestURI, q.Body)
--- a/internal/process/meter/metrics.go
+++ b/internal/process/meter/metrics.go
@@ -64,6 +64,7 @@
 	{"request_cpu_seconds", nil, "Processor time per request, the instance's other work included."},
 	{"request_bytes", nil, "Bytes written to clients per request."},
 	{"members_earlier", nil, "Live instances that run an earlier build, which reads less from the platform. Anything but 0 is expected only during an upgrade."},
+	{"configurations_refused", nil, "Configurations of the operators that cannot be used; the last valid one stays in force. The log line `configuration refused` names the resource and the field."},
 	{"platform_calls", []string{"call", "result"}, "Calls to the platform by result. `refused`: the platform rejected the call. `unreachable`: no complete response."},
 	{"peer_messages", []string{"direction", "kind"}, "Messages exchanged with other instances."},
 	{"peer_bytes", []string{"direction", "kind"}, "Bytes of the messages exchanged with other instances."},
--- a/internal/standin/mutator/variants_test.go
+++ b/internal/standin/mutator/variants_test.go
@@ -73,7 +73,7 @@
 		"platform/store.go", "oldest = min(oldest, p.Revision)", "oldest = p.Revision",
 	}}},
 	{"TestSplitterFollowsWeights", "internal/version/router", []Edit{{
-		"internal/version/router/splitter.go", "	credit[best] -= total\n", "	credit[best] -= total - 1\n",
+		"internal/version/router/split.go", "		left += weights[i]\n", "		left += weights[i] / 2\n",
 	}}},
 	{"TestShutdownDropsNoRequest", "platform", []Edit{{
 		"internal/process/composer/shutdown.go", "	time.Sleep(acceptTime(i.options.Grace))\n", "",
--- a/internal/version/router/router_test.go
+++ b/internal/version/router/router_test.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -60,26 +62,131 @@
 	}
 }
 
-// The number of requests of each service differs from its exact share by at most 2
-// (less than one per service), for three services with any weights, start of the
-// rotation and number of requests. An error in the credits would give a service more requests than its share.
+// The number of requests of each service differs from its exact share by at most 2 (less than
+// one per service), for three services with any weights, start and number of requests. An error
+// in the shares would give a service more requests than its share.
 func TestSplitterFollowsWeights(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(1)
 	properties := gopter.NewProperties(parameters)
-	properties.Property("shares", prop.ForAll(func(a, b, c, start, n int) bool {
-		r := &Route{Name: "r", Services: []WeightedService{{"a", a}, {"b", b}, {"c", c}}}
-		s := NewSplitter(func(total int) int { return start % total })
-		got := map[string]int{}
-		for range n {
-			got[s.Pick(r)]++
-		}
+	properties.Property("shares", prop.ForAll(func(a, b, c, scale int, start uint64, n int) bool {
+		unit := math.Pow(10, float64(scale))
+		r := prepared(t, WeightedService{"a", unit * float64(a)}, WeightedService{"b", unit * float64(b)}, WeightedService{"c", unit * float64(c)})
+		got := pickAll(r, n, func() uint64 { start *= 6364136223846793005; return start })
 		for _, p := range r.Services {
-			want := float64(n) * float64(p.Weight) / float64(a+b+c)
+			want := float64(n) * (p.Weight / unit) / float64(a+b+c)
 			if d := float64(got[p.Service]) - want; d > 2 || d < -2 {
 				return false
 			}
 		}
 		return true
-	}, gen.IntRange(0, 90), gen.IntRange(1, 90), gen.IntRange(0, 90), gen.IntRange(0, 1000), gen.IntRange(1, 400)))
+	}, gen.IntRange(0, 90), gen.IntRange(1, 90), gen.IntRange(0, 90), gen.IntRange(-300, 300), gen.UInt64(), gen.IntRange(1, 400)))
 	properties.TestingRun(t)
 }
+
+// prepared returns a route with some services.
+func prepared(t *testing.T, services ...WeightedService) *Route {
+	t.Helper()
+	r := &Route{Name: "r", Services: services}
+	require.NoError(t, r.prepare())
+	return r
+}
+
+// pickAll returns the number of requests of each service among n.
+func pickAll(r *Route, n int, random func() uint64) map[string]int {
+	got := map[string]int{}
+	for range n {
+		got[r.Pick(random)]++
+	}
+	return got
+}
+
+// Guards against a choice whose cost grows with the weights, and against sums and shares of them
+// that exceed the numbers of a type: no request on the route was answered, or the process ended.
+func TestLargeWeightsAreFollowed(t *testing.T) {
+	for name, c := range map[string]struct {
+		services []WeightedService
+		want     map[string]int
+	}{
+		"parts per billion":   {[]WeightedService{{"a", 9e8}, {"b", 1e8}}, map[string]int{"a": 900, "b": 100}},
+		"sum above 64 bits":   {[]WeightedService{{"a", 1 << 63}, {"b", 1 << 63}, {"c", 1 << 63}, {"d", 1 << 63}}, map[string]int{"a": 250, "b": 250, "c": 250, "d": 250}},
+		"greatest numbers":    {[]WeightedService{{"a", math.MaxFloat64}, {"b", math.MaxFloat64}}, map[string]int{"a": 500, "b": 500}},
+		"least numbers":       {[]WeightedService{{"a", math.SmallestNonzeroFloat64}, {"b", math.SmallestNonzeroFloat64}}, map[string]int{"a": 500, "b": 500}},
+		"both":                {[]WeightedService{{"a", math.SmallestNonzeroFloat64}, {"b", math.MaxFloat64}, {"c", 1}}, map[string]int{"b": 1000}},
+		"the first is most":   {[]WeightedService{{"a", 1e30}, {"b", 1}}, map[string]int{"a": 1000}},
+		"the last is most":    {[]WeightedService{{"a", 1}, {"b", 1e30}}, map[string]int{"b": 1000}},
+		"fractions":           {[]WeightedService{{"a", 0.9}, {"b", 0.1}}, map[string]int{"a": 900, "b": 100}},
+		"nothing":             {[]WeightedService{{"a", 0}, {"b", 0}}, map[string]int{"a": 1000}},
+		"nothing but the one": {[]WeightedService{{"a", 0}, {"b", 0.1}, {"c", 0}}, map[string]int{"b": 1000}},
+	} {
+		got := pickAll(prepared(t, c.services...), 1000, rand.Uint64)
+		for service := range got {
+			require.InDelta(t, c.want[service], got[service], 2, name)
+		}
+	}
+}
+
+// Guards against counts that outlive the weights by which they were counted: after a change from
+// 9900 to 100 to 1 to 1, thousands of requests went to one of the services.
+func TestNewWeightsHoldFromTheFirstRequest(t *testing.T) {
+	table := newTable(Route{Name: "r", Host: "h", Prefix: "/", Services: []WeightedService{{"s", 9900}, {"t", 100}}})
+	require.NoError(t, table.Prepare())
+	pickAll(table.Match("h", "/"), 50, rand.Uint64)
+	table.Routes[0].Services = []WeightedService{{"s", 1}, {"t", 1}}
+	text, err := table.Encode()
+	require.NoError(t, err)
+	for range 20 {
+		next, err := Decode(text)
+		require.NoError(t, err)
+		require.InDelta(t, 10, pickAll(next.Match("h", "/"), 20, rand.Uint64)["s"], 1)
+	}
+}
+
+// Guards against counts that are lost while many requests choose at once, without a lock.
+func TestConcurrentRequestsFollowWeights(t *testing.T) {
+	r, got := prepared(t, WeightedService{"a", 7}, WeightedService{"b", 2}, WeightedService{"c", 1}), make(chan map[string]int)
+	for range 8 {
+		go func() { got <- pickAll(r, 1000, rand.Uint64) }()
+	}
+	total := map[string]int{}
+	for range 8 {
+		for service, n := range <-got {
+			total[service] += n
+		}
+	}
+	require.InDelta(t, 5600, total["a"], 2)
+	require.InDelta(t, 1600, total["b"], 2)
+	require.InDelta(t, 800, total["c"], 2)
+}
+
+// Guards against requests of many instances that all begin with the same service: with few
+// requests each, one service would get none of them.
+func TestInstancesStartAtDifferentServices(t *testing.T) {
+	random, got := rand.New(rand.NewPCG(1, 2)), map[string]int{}
+	for range 2000 {
+		r := prepared(t, WeightedService{"a", 7}, WeightedService{"b", 2}, WeightedService{"c", 1})
+		got[r.Pick(random.Uint64)]++
+	}
+	require.InDelta(t, 1400, got["a"], 80)
+	require.InDelta(t, 400, got["b"], 80)
+	require.InDelta(t, 200, got["c"], 80)
+}
+
+// Guards against a relayed request that takes another service than the one that was chosen.
+func TestRouteToOneServiceHasNoOther(t *testing.T) {
+	r := prepared(t, WeightedService{"a", 1}, WeightedService{"b", 1})
+	text, err := r.To("b").Encode()
+	require.NoError(t, err)
+	only, err := DecodeRoute(text)
+	require.NoError(t, err)
+	require.Equal(t, map[string]int{"b": 10}, pickAll(only, 10, rand.Uint64))
+	require.Equal(t, map[string]int{"b": 10}, pickAll(r.To("b"), 10, rand.Uint64))
+	require.Len(t, pickAll(r, 10, rand.Uint64), 2)
+}
+
+// Guards against a route of another instance with a weight that a table could not have.
+func TestDecodeRouteRejectsInvalidWeights(t *testing.T) {
+	for _, text := range []string{`{"parts":[{"service":"s","weight":-1},{"service":"t","weight":1}]}`, `{"parts":[{"service":"s","weight":1e400}]}`, `{"parts":[]}`} {
+		_, err := DecodeRoute([]byte(text))
+		require.Error(t, err, text)
+	}
+}
--- a/internal/version/router/table.go
+++ b/internal/version/router/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net"
 	"slices"
 	"strings"
@@ -13,9 +14,9 @@
 // WeightedService is one service of a route and its weight.
 type WeightedService struct {
 	Service string `json:"service"`
-	// Weight is not negative. The share of a service is its weight divided by the
+	// Weight is finite and not negative. The share of a service is its weight divided by the
 	// sum of the weights of the route.
-	Weight int `json:"weight"`
+	Weight float64 `json:"weight"`
 }
 
 // Route determines the services for the requests of a host and a path prefix.
@@ -39,6 +40,42 @@
 	MaxAttempts int `json:"attempts"`
 	// Services holds at least one service.
 	Services []WeightedService `json:"parts"`
+
+	// split distributes the requests if there are several services. It belongs to one version
+	// of the table: what was distributed by other weights does not count.
+	split *split
+}
+
+// Pick returns the service for the next request. The function random returns a number of 64
+// bits.
+func (r *Route) Pick(random func() uint64) string {
+	if r.split == nil {
+		return r.Services[0].Service
+	}
+	return r.split.next(random)
+}
+
+// To returns the route with one of its services only.
+func (r *Route) To(service string) *Route {
+	only := *r
+	only.Services, only.split = []WeightedService{{Service: service, Weight: 1}}, nil
+	return &only
+}
+
+// prepare checks the services of the route and prepares their split.
+func (r *Route) prepare() error {
+	if len(r.Services) == 0 {
+		return trace.BadParameter("route %q has no service; expected at least one", r.Name)
+	}
+	for _, p := range r.Services {
+		if !(p.Weight >= 0) || math.IsInf(p.Weight, 1) {
+			return trace.BadParameter("route %q: service %q has the weight %v; expected a number of at least 0", r.Name, p.Service, p.Weight)
+		}
+	}
+	if len(r.Services) > 1 {
+		r.split = newSplit(r.Services)
+	}
+	return nil
 }
 
 // Encode returns the route in the form that is sent to other instances.
@@ -53,8 +90,8 @@
 	if err := json.Unmarshal(text, r); err != nil {
 		return nil, trace.Wrap(err, "the route is not valid JSON")
 	}
-	if len(r.Services) == 0 {
-		return nil, trace.BadParameter("route %q has no service, expected at least one", r.Name)
+	if err := r.prepare(); err != nil {
+		return nil, err
 	}
 	return r, nil
 }
@@ -155,18 +192,13 @@
 		return trace.BadParameter("route %q has a timeout or a latency objective that is not greater than 0", r.Name)
 	case r.MaxAttempts < 1:
 		return trace.BadParameter("route %q allows no attempt; expected at least 1", r.Name)
-	case len(r.Services) == 0:
-		return trace.BadParameter("route %q has no service; expected at least one", r.Name)
 	}
 	for _, p := range r.Services {
 		if t.services[p.Service] == nil {
 			return trace.BadParameter("route %q names the unknown service %q", r.Name, p.Service)
 		}
-		if p.Weight < 0 {
-			return trace.BadParameter("a service of route %q has the weight %d; expected 0 or more", r.Name, p.Weight)
-		}
 	}
-	return nil
+	return r.prepare()
 }
 
 // Match returns the route of the host with the longest prefix of the path. It
