placer: bound the numbers of a load report

Cause: the numbers of a target's load report were added and multiplied as they came. With counts near 2^63 their sum is negative: a request that the target runs seems to have been dropped by it, its slot counts as free, and the target looks idle. A great slowdown times a work time exceeds the range of a duration, which differs between processors.

Change: counts above 2^20 and slowdowns above 10,000 count as these.

TestAbsurdLoadReportsAttractNoRequests failed before: the running request was recorded as dropped.

--- a/internal/request/placer/placer_test.go
+++ b/internal/request/placer/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand"
 	"testing"
 	"time"
@@ -413,3 +414,25 @@
 	require.Less(t, 10*newConnections, 2*probes, "want less than 20 %% of %d probes to need a new connection", probes)
 	require.Len(t, probed, 60, "every target must be probed at some time")
 }
+
+// Guards against a load report whose sums and products exceed their types: a request that the
+// target ran seemed to have been dropped, and the time that one would take was negative.
+func TestAbsurdLoadReportsAttractNoRequests(t *testing.T) {
+	for name, l := range map[string]Load{
+		"requests": {Running: math.MaxInt, Waiting: math.MaxInt, Slots: 2, Slowdown: 1},
+		"all":      {Running: math.MaxInt, Waiting: math.MaxInt, Slots: math.MaxInt, Slowdown: math.MaxFloat64},
+		"slowdown": {Slots: 2, Slowdown: math.MaxFloat64},
+		"no sense": {Slots: 2, Slowdown: math.NaN()},
+	} {
+		f := newFixture(t, 2, 0)
+		f.Report("a0", l, f.now, f.now)
+		f.Report("a1", Load{Running: 1, Slots: 8, Slowdown: 1}, f.now, f.now)
+		require.Equal(t, "a1", f.grantedTarget(f.submit(f.ticket())), name)
+		f = newFixture(t, 1, 0)
+		held := f.place("a0", 0, false)
+		f.advance(time.Second).Report("a0", l, f.now, f.now)
+		require.Equal(t, l.Running == 0, f.RecordDropped("a0", held, f.now), name)
+		require.Positive(t, f.targets["a0"].slowdown(f.now)*float64(time.Hour), name)
+		require.Less(t, f.targets["a0"].slowdown(f.now)*float64(24*time.Hour), float64(math.MaxInt64), name)
+	}
+}
--- a/internal/request/placer/target.go
+++ b/internal/request/placer/target.go
@@ -31,6 +31,24 @@
 	Slowdown float64
 }
 
+// The bounds on a load report. Sums and products of greater numbers exceed their types, so that a
+// busy target looks idle.
+const (
+	maxReported         = 1 << 20
+	maxReportedSlowdown = 1e4
+)
+
+// bounded returns the load with numbers that can be computed with.
+func (l Load) bounded() Load {
+	count := func(n int) int { return min(max(n, 0), maxReported) }
+	l.Running, l.Waiting, l.Slots = count(l.Running), count(l.Waiting), count(l.Slots)
+	if !(l.Slowdown <= maxReportedSlowdown) {
+		l.Slowdown = maxReportedSlowdown
+	}
+	l.Slowdown = max(l.Slowdown, 0)
+	return l
+}
+
 // Ending is the way a request ended at a target.
 type Ending int
 
@@ -171,6 +189,7 @@
 // setReport records the load in the response to a request or probe that was sent at
 // asked.
 func (s *targetState) setReport(l Load, asked, now time.Time) {
+	l = l.bounded()
 	s.reportsLoad, s.load, s.askedAt, s.reportedAt, s.endedSinceReport = true, l, asked, now, 0
 	if l.Slots > 0 {
 		s.Slots = l.Slots
