router: bound the numbers of routes, services and limits

Cause: priorities and times of a configuration were multiplied as they came, so that a great priority became the most urgent one; a negative body limit was used as the size of a buffer, which ends the process at the first upload in chunks (a trial on: "makeslice: cap out of range").

Change: times above 24 h and priorities beyond 2^20 count as these. A negative limit or number of connections refuses the configuration, with its name.

TestNumbersOfARouteAreBounded and three cases of TestPrepareRejectsInvalidTables failed before.

--- a/internal/version/router/router_test.go
+++ b/internal/version/router/router_test.go
@@ -56,12 +56,38 @@
 		"no host":                    newTable(Route{Prefix: "/a/"}),
 		"prefix without final slash": newTable(Route{Host: "h", Prefix: "/a"}),
 		"unknown service":            newTable(Route{Host: "h", Prefix: "/a/", Services: []WeightedService{{"unknown", 1}}}),
+		"negative body limit":        {Version: 1, Limits: Limits{MaxBodyBytes: -1}},
+		"negative idle timeout":      {Version: 1, Limits: Limits{IdleTimeout: -1}},
+		"negative connections":       {Version: 1, Services: []Service{{Name: "s", MaxConnections: -1}}},
 		"negative weight":            newTable(Route{Host: "h", Prefix: "/a/", Services: []WeightedService{{"s", -1}}}),
 	} {
 		require.Error(t, x.Prepare(), name)
 	}
 }
 
+// Guards against numbers of a route that exceed their types where they are multiplied: the least
+// urgent requests became the most urgent ones.
+func TestNumbersOfARouteAreBounded(t *testing.T) {
+	text := `{"version":1,"services":[{"name":"s"}],"routes":[{"host":"h","prefix":"/","timeout":9223372036854775807,"objective":9223372036854775807,"priority":9223372036854775807,"attempts":1,"parts":[{"service":"s","weight":1}]}]}`
+	table, err := Decode([]byte(text))
+	require.NoError(t, err)
+	for _, r := range []*Route{table.Match("h", "/"), decoded(t, table.Match("h", "/"))} {
+		require.Equal(t, 24*time.Hour, r.Timeout)
+		require.Equal(t, 24*time.Hour, r.LatencyObjective)
+		require.Positive(t, time.Duration(r.Priority)*time.Hour)
+	}
+}
+
+// decoded returns a route as another instance gets it.
+func decoded(t *testing.T, r *Route) *Route {
+	t.Helper()
+	text, err := r.Encode()
+	require.NoError(t, err)
+	d, err := DecodeRoute(text)
+	require.NoError(t, err)
+	return d
+}
+
 // The number of requests of each service differs from its exact share by at most 2 (less than
 // one per service), for three services with any weights, start and number of requests. An error
 // in the shares would give a service more requests than its share.
--- a/internal/version/router/table.go
+++ b/internal/version/router/table.go
@@ -90,6 +90,7 @@
 	if err := json.Unmarshal(text, r); err != nil {
 		return nil, trace.Wrap(err, "the route is not valid JSON")
 	}
+	r.bound()
 	if err := r.prepare(); err != nil {
 		return nil, err
 	}
@@ -154,15 +155,52 @@
 	return t, nil
 }
 
+// The bounds on the numbers of a route. Greater ones count as the bound: no request lasts longer,
+// and no two priorities beyond it have to be told apart.
+const (
+	maxRouteTime = 24 * time.Hour
+	maxPriority  = 1 << 20
+)
+
+// bound replaces numbers of the route that cannot be computed with.
+func (r *Route) bound() {
+	r.Timeout, r.LatencyObjective = min(r.Timeout, maxRouteTime), min(r.LatencyObjective, maxRouteTime)
+	r.Priority = min(max(r.Priority, -maxPriority), maxPriority)
+}
+
+// check returns an error that names the first limit that is negative.
+func (l *Limits) check() error {
+	for _, f := range []struct {
+		name  string
+		value int64
+	}{
+		{"header", int64(l.MaxHeaderBytes)},
+		{"body", int64(l.MaxBodyBytes)},
+		{"read", int64(l.HeaderTimeout)},
+		{"idle", int64(l.IdleTimeout)},
+	} {
+		if f.value < 0 {
+			return trace.BadParameter("the limit %q is %d; expected 0 or more", f.name, f.value)
+		}
+	}
+	return nil
+}
+
 // Prepare checks the table and builds its index. It must be called once, before the
 // table is used by several goroutines.
 func (t *Table) Prepare() error {
 	if t.Version == 0 {
 		return trace.BadParameter("the routing table has no version; expected a number greater than 0")
 	}
+	if err := t.Limits.check(); err != nil {
+		return err
+	}
 	t.services = make(map[string]*Service, len(t.Services))
 	for i := range t.Services {
 		s := &t.Services[i]
+		if s.MaxConnections < 0 {
+			return trace.BadParameter("service %q has %d connections; expected 0 or more", s.Name, s.MaxConnections)
+		}
 		if s.Warmup < 0 || s.WarmupRate < 0 {
 			return trace.BadParameter("service %q has the warm-up %s at %v requests per second; expected 0 or more of both", s.Name, s.Warmup, s.WarmupRate)
 		}
@@ -171,6 +209,7 @@
 	t.hosts = map[string][]*Route{}
 	for i := range t.Routes {
 		r := &t.Routes[i]
+		r.bound()
 		if err := t.check(r); err != nil {
 			return err
 		}
