exchanger: bound the idle timeout that a target reports

Cause: the seconds of Keep-Alive were converted to a duration without a bound. With 10^10 the product is negative, and each connection to that target was closed after one response.

Change: at most an hour counts, and a negative number as 0.

TestGreatIdleTimeoutKeepsTheConnection failed before.

--- a/internal/connection/exchanger/conn.go
+++ b/internal/connection/exchanger/conn.go
@@ -314,7 +314,7 @@
 	for p := range strings.SplitSeq(keepAlive, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(p), "=")
 		if seconds, err := strconv.Atoi(value); err == nil && name == "timeout" {
-			timeout := time.Duration(seconds) * time.Second
+			timeout := time.Duration(min(max(seconds, 0), maxIdleSeconds)) * time.Second
 			c.expires = now.Add(max(timeout-idleMargin, timeout/2))
 		}
 	}
--- a/internal/connection/exchanger/exchanger.go
+++ b/internal/connection/exchanger/exchanger.go
@@ -33,6 +33,8 @@
 	// defaultIdleTimeout applies if the target does not report its idle timeout in a
 	// Keep-Alive header.
 	defaultIdleTimeout = 4 * time.Second
+	// maxIdleSeconds bounds the idle timeout that a target reports.
+	maxIdleSeconds = 3600
 	// idleMargin is subtracted from the idle timeout of a target, because the target
 	// starts to count earlier and a request takes time to arrive.
 	idleMargin = 2 * time.Second
--- a/internal/connection/exchanger/exchanger_test.go
+++ b/internal/connection/exchanger/exchanger_test.go
@@ -321,3 +321,16 @@
 	require.Error(t, err)
 	require.Equal(t, sender.Unsent, effect)
 }
+
+// Guards against an idle timeout that exceeds the range of a duration: each connection of that
+// target was closed after one response.
+func TestGreatIdleTimeoutKeepsTheConnection(t *testing.T) {
+	c, now := &conn{}, time.Unix(1000, 0)
+	for text, want := range map[string]time.Duration{
+		"timeout=10000000000": maxIdleSeconds*time.Second - idleMargin, "timeout=9223372036854775807": maxIdleSeconds*time.Second - idleMargin,
+		"timeout=10": 10*time.Second - idleMargin, "timeout=99999999999999999999": defaultIdleTimeout, "timeout=-1": 0,
+	} {
+		c.updateExpiry(text, now)
+		require.Equal(t, want, c.expires.Sub(now), text)
+	}
+}
