assessor: resources that are no sensible numbers are unknown

Cause: the processor share and link rate of an instance's settings, which it tells its peers, were used as they came.

TestResourcesWithoutSenseAreUnknown failed before.

--- a/internal/process/assessor/assessor.go
+++ b/internal/process/assessor/assessor.go
@@ -20,10 +20,17 @@
 	Bytes float64
 }
 
+// The greatest resources that count as known: shares of others are computed from them.
+const (
+	maxCores = 1 << 20
+	// maxLink is in bytes per second.
+	maxLink = 1 << 50
+)
+
 // Capacity returns the requests per second that the resources allow, or 0 if they are
-// unknown. The scarcer resource decides.
+// unknown or make no sense. The scarcer resource decides.
 func (r Resources) Capacity(c Costs) float64 {
-	if r.Cores <= 0 || r.Link <= 0 {
+	if !(r.Cores > 0 && r.Cores <= maxCores && r.Link > 0 && r.Link <= maxLink) {
 		return 0
 	}
 	return min(r.Cores/max(c.CPU.Seconds(), minCPU.Seconds()), r.Link/max(c.Bytes, 1))
--- a/internal/process/assessor/assessor_test.go
+++ b/internal/process/assessor/assessor_test.go
@@ -1,6 +1,7 @@
 package assessor
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -81,3 +82,12 @@
 		require.Equal(t, 1.0, a.Ease())
 	}
 }
+
+// Guards against resources of an instance that are no finite numbers: with one such instance, the
+// directory named none to callers.
+func TestResourcesWithoutSenseAreUnknown(t *testing.T) {
+	for _, n := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, 0, math.MaxFloat64} {
+		require.Zero(t, Resources{Cores: n, Link: 1e6}.Capacity(Costs{}), n)
+		require.Zero(t, Resources{Cores: 1, Link: n}.Capacity(Costs{}), n)
+	}
+}
