router: test that a fleet follows weights that change often

Many instances with five requests each between two changes of the weights: each share is within 0.1 of its weight's, for weights of any scale.

--- a/internal/version/router/router_test.go
+++ b/internal/version/router/router_test.go
@@ -184,6 +184,23 @@
 	require.InDelta(t, 800, total["c"], 2)
 }
 
+// Guards against shares that are right for many requests of one instance only: here many instances
+// get a few requests each between two changes of the weights.
+func TestFleetFollowsWeightsThatChangeOften(t *testing.T) {
+	const instances, requests = 98, 5
+	random := rand.New(rand.NewPCG(3, 4))
+	for version := range 40 {
+		w := random.Float64() * math.Pow(10, float64(random.IntN(12)-3))
+		v := random.Float64() * math.Pow(10, float64(random.IntN(12)-3))
+		got := 0
+		for range instances {
+			got += pickAll(prepared(t, WeightedService{"a", w}, WeightedService{"b", v}), requests, random.Uint64)["a"]
+		}
+		// The bound on the share that users state for 300 requests and more.
+		require.InDelta(t, w/(w+v), float64(got)/(instances*requests), 0.1, version)
+	}
+}
+
 // Guards against requests of many instances that all begin with the same service: with few
 // requests each, one service would get none of them.
 func TestInstancesStartAtDifferentServices(t *testing.T) {
