forwarder: name the statuses by what they tell a client

promises, withoutPromise and mayPromise become notRunStatuses, replaceFalseRefusal and acceptsStatus; the file is refusal.go. No behaviour changes: a comparison of the code without names and comments shows none.

--- a/internal/process/forwarder/execution.go
+++ b/internal/process/forwarder/execution.go
@@ -232,7 +232,7 @@
 		e.allUnsent = false
 	case sender.Done:
 		e.mayHaveRun = true
-		r = e.withoutPromise(r, now)
+		r = e.replaceFalseRefusal(r, now)
 		if status < http.StatusInternalServerError {
 			return e.clientResponse(r)
 		}
--- a/internal/process/forwarder/promise.go
+++ b/internal/process/forwarder/refusal.go
@@ -11,18 +11,18 @@
 	"oriolecourse.example/oriolecourse/internal/request/placer"
 )
 
-// promises holds the statuses that tell a client that its request has not run and never will.
-// A client then sends it again, also if it must not run twice. So they are this instance's own
-// word: no other source knows all attempts.
-var promises = map[int]bool{
+// notRunStatuses holds the statuses that tell a client that its request has not run and never
+// will. A client then sends it again, even if it must not run twice. So only this instance, which
+// knows all attempts, may send them; a target means less by them.
+var notRunStatuses = map[int]bool{
 	http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
 	http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
 }
 
-// withoutPromise replaces the response to a request that has run if its status promises the
-// opposite. Nothing of the target's response is kept, since it belongs to its status.
-func (e *execution) withoutPromise(r result, now time.Time) result {
-	if !promises[r.response.Status] {
+// replaceFalseRefusal replaces a target's response to a request that has run if a client would take
+// its status for the opposite. No header and no body is kept, since they belong to that status.
+func (e *execution) replaceFalseRefusal(r result, now time.Time) result {
+	if !notRunStatuses[r.response.Status] {
 		return r
 	}
 	e.reportReplaced(r.grant.Target.ID, r.response.Status)
@@ -41,10 +41,10 @@
 	_ = level.Warn(r.logger).Log("msg", "status replaced", "service", r.service.name, "target", target, "status", status)
 }
 
-// mayPromise reports whether the client may get the response of another instance, which cannot
-// know what this one has sent. One of an earlier build passes on what targets say.
-func (r *request) mayPromise(response *acceptor.Response) bool {
-	return !promises[response.Status] || !r.mayHaveRun && r.forwarder.isRejection(response)
+// acceptsStatus reports whether the client may get the status of another instance's response. That
+// instance does not know what this one has sent, and an earlier build passes on what targets say.
+func (r *request) acceptsStatus(response *acceptor.Response) bool {
+	return !notRunStatuses[response.Status] || !r.mayHaveRun && r.forwarder.isRejection(response)
 }
 
 // isRejection reports whether a response is one that rejection returns.
--- a/internal/process/forwarder/relay.go
+++ b/internal/process/forwarder/relay.go
@@ -72,7 +72,7 @@
 	q.Header.Set(f.options.Dialect.Deadline, strconv.FormatInt(left, 10))
 	response, result := f.options.Relay(ctx, &q, r.route.To(r.service.name))
 	switch {
-	case result == RelayAnswered && !r.mayPromise(response):
+	case result == RelayAnswered && !r.acceptsStatus(response):
 		r.reportReplaced("", response.Status)
 		return &acceptor.Response{Status: http.StatusBadGateway}, unknown
 	case result == RelayAnswered:
