acceptor: keep a closing connection until the client has received its last response

Cause: after the last response a connection was closed 500 ms later, received or not; what the client sends from then on is answered with a reset, which discards what the kernel still holds. The process ended as early. So too without a stop, where a client asks for the close. Beside it, the end of reading gave a connection whose input was already discarded the deadline of a request in arrival.

--- a/internal/connection/acceptor/acceptor.go
+++ b/internal/connection/acceptor/acceptor.go
@@ -26,10 +26,13 @@
 	streamTimeout = time.Minute
 	// bodyTimeout bounds each read of a body.
 	bodyTimeout = 5 * time.Second
-	// lingerTimeout is how long a closing connection is read after its last response.
-	// Closing a connection with unread bytes resets it, and the client may lose the
-	// response.
+	// lingerTimeout is how long a closing connection is read after the client has received its
+	// last response. Closing a connection with unread bytes resets it, and the client may lose
+	// what it has not yet read.
 	lingerTimeout = 500 * time.Millisecond
+	// receiptInterval is the time between two checks whether a client has received its last
+	// response.
+	receiptInterval = 50 * time.Millisecond
 	// lateReadTime is the time for the rest of a request that has begun to arrive when reading
 	// ends. A client that needs longer is told that its request has not run.
 	lateReadTime = 500 * time.Millisecond
@@ -44,7 +47,8 @@
 	MaxHeaderBytes, MaxBodyBytes int
 	// HeaderTimeout bounds the time from the first byte of a header to its last.
 	HeaderTimeout time.Duration
-	// IdleTimeout bounds the time between two requests of a connection.
+	// IdleTimeout bounds the time between two requests of a connection, and that in which a
+	// client receives nothing of its last response.
 	IdleTimeout time.Duration
 }
 
--- a/internal/connection/acceptor/conn.go
+++ b/internal/connection/acceptor/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -49,8 +50,8 @@
 	// readEnd is when the reading of a request ends that has begun to arrive; zero before
 	// StopReading.
 	readEnd time.Time
-	// discarding means that further input is read to be discarded, which the end of a
-	// response must not stop.
+	// discarding means that further input is read to be discarded, which neither the end of a
+	// response nor that of reading must stop.
 	discarding bool
 }
 
@@ -77,8 +78,8 @@
 		<-written
 		return
 	}
-	// Discard further input until the client closes the connection or lingerTimeout
-	// has passed since the last response.
+	// Discard further input until the client closes the connection or has received the last
+	// response.
 	discarded := make(chan struct{})
 	go func() {
 		defer close(discarded)
@@ -89,7 +90,8 @@
 		// CloseWrite fails if the connection is already closed, which is fine.
 		_ = t.CloseWrite()
 	}
-	_ = c.socket.SetReadDeadline(time.Now().Add(lingerTimeout))
+	c.awaitReceipt(discarded)
+	_ = c.socket.SetReadDeadline(time.Unix(1, 0))
 	<-discarded
 }
 
@@ -100,7 +102,7 @@
 	c.discarding = true
 	_ = c.socket.SetReadDeadline(time.Time{})
 	c.mutex.Unlock()
-	if _, err := io.Copy(io.Discard, c.socket); !isTimeout(err) {
+	if _, err := c.reader.Discard(math.MaxInt); !isTimeout(err) {
 		cancel()
 	}
 }
@@ -309,7 +311,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.closing, c.readEnd = true, end
-	if c.reading {
+	if c.reading && !c.discarding {
 		_ = c.socket.SetReadDeadline(end)
 	}
 	c.setReadDeadline()
--- a/internal/process/composer/shutdown.go
+++ b/internal/process/composer/shutdown.go
@@ -26,10 +26,6 @@
 	// busyCheckInterval is the time between two checks for requests in progress and for open
 	// connections.
 	busyCheckInterval = 20 * time.Millisecond
-	// closeTimeout bounds the wait for clients to read the last responses and to close their
-	// connections. Closing a connection with unread bytes resets it, and the client may lose
-	// the response.
-	closeTimeout = 500 * time.Millisecond
 )
 
 // acceptTime returns the part of a grace period in which requests are still read.
@@ -64,7 +60,8 @@
 // connect to another instance. After that, no connection is accepted and no request read;
 // one that has arrived in part, or that another instance relays, is rejected, as it might
 // not end in time. So is, from the start, one that waits and is not expected to. shutDown
-// waits until no request is in progress, or until only exitShare of the grace period is left.
+// waits until no request is in progress and clients have received their responses, or until only
+// exitShare of the grace period is left.
 func (i *Instance) shutDown(l net.Listener) {
 	start := time.Now()
 	_ = level.Info(i.options.Logger).Log("msg", "stopping", "busy", i.acceptor.PendingRequests(), "connections", i.acceptor.OpenConnections())
@@ -79,11 +76,8 @@
 	i.forwarder.RefuseRequests()
 	_ = level.Info(i.options.Logger).Log("msg", "reading ended", "after", time.Since(start), "busy", i.acceptor.PendingRequests(), "connections", i.acceptor.OpenConnections())
 	awaitUntil(drainDeadline, func() bool { return i.acceptor.PendingRequests()+i.relayer.Executing() == 0 })
-	closeDeadline := time.Now().Add(closeTimeout)
-	if closeDeadline.After(drainDeadline) {
-		closeDeadline = drainDeadline
-	}
-	awaitUntil(closeDeadline, func() bool { return i.acceptor.OpenConnections() == 0 })
+	// A connection stays open until its client has received the last response.
+	awaitUntil(drainDeadline, func() bool { return i.acceptor.OpenConnections() == 0 })
 	i.relayer.FinishLeaving(time.Now())
 	_ = level.Info(i.options.Logger).Log("msg", "left", "after", time.Since(start), "busy", i.acceptor.PendingRequests())
 }
