exchanger: a target that pauses in reading a request is not dead

Cause: TCP_USER_TIMEOUT of 1 s bounds not only the time without an acknowledgement but also that for which the window stays closed, though the target acknowledges each window probe.

Change: requests of more than 1 KB are watched by TCP_INFO while they are on their way. While everything that was sent is acknowledged and the rest waits for the window, the option is lifted, and the watch ends the exchange if the target then acknowledges nothing for a second. Where the system does not tell, nothing changes.

TestTargetThatPausesInReadingIsNotDead failed before, for 12 KB and 8 MiB, after 1.27 s. Race tests of internal/connection passed.

--- a/internal/connection/exchanger/conn.go
+++ b/internal/connection/exchanger/conn.go
@@ -108,6 +108,8 @@
 	// with writeErr.
 	written  chan struct{}
 	writeErr error
+	// watch is that of the current request, or nil.
+	watch *watch
 }
 
 func newConn(x *Exchanger, target netip.AddrPort, socket net.Conn) *conn {
@@ -116,6 +118,7 @@
 
 func (c *conn) close() {
 	c.once.Do(func() {
+		c.watch.stop()
 		c.socket.Close()
 		c.exchanger.release(c.target)
 	})
@@ -155,6 +158,9 @@
 		return nil, sender.Lost, trace.Wrap(err)
 	}
 	response, reusable, err := c.readMatchingResponse(q)
+	if err != nil && c.watch.stop() {
+		return nil, sender.Lost, errSilent
+	}
 	if err != nil {
 		return nil, sender.Lost, err
 	}
@@ -172,7 +178,10 @@
 // write writes a short request, or starts to write a long one: a target may respond before it
 // has read the body.
 func (c *conn) write(head, body []byte) error {
-	c.written, c.writeErr = make(chan struct{}), nil
+	c.written, c.writeErr, c.watch = make(chan struct{}), nil, nil
+	if len(head)+len(body) > maxUnwatchedBytes {
+		c.watch = startWatch(c.socket, c.isWritten)
+	}
 	if len(head)+len(body) <= maxSyncWriteBytes {
 		defer close(c.written)
 		_, c.writeErr = c.socket.Write(append(head, body...))
--- a/internal/connection/exchanger/exchanger.go
+++ b/internal/connection/exchanger/exchanger.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	"golang.org/x/sys/unix"
 
 	"oriolecourse.example/oriolecourse/internal/connection/reserver"
 )
@@ -23,7 +22,7 @@
 	// may have a free slot.
 	dialTimeout = 300 * time.Millisecond
 	// tcpUserTimeout closes a connection whose target does not acknowledge the sent
-	// data. It allows two retransmissions.
+	// data. It allows two retransmissions. It also decides when keep-alive probes give up.
 	tcpUserTimeout = time.Second
 	// keepAliveIdle, keepAliveInterval and keepAliveCount detect a target that loses
 	// power while it executes a request.
@@ -142,7 +141,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
-		Control: setTCPUserTimeout,
+		Control: limitSilence,
 	}
 	if x.LocalAddress.IsValid() {
 		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(x.LocalAddress, 0))
@@ -168,16 +167,14 @@
 	x.OnContact(target, err)
 }
 
-// setTCPUserTimeout bounds how long sent data may stay unacknowledged.
-func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
+// limitSilence sets TCP_USER_TIMEOUT on a new socket.
+func limitSilence(_, _ string, raw syscall.RawConn) error {
 	var optionErr error
-	err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
-	})
+	err := raw.Control(func(fd uintptr) { optionErr = setUserTimeout(int(fd), tcpUserTimeout) })
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	return trace.Wrap(optionErr)
+	return optionErr
 }
 
 func (x *Exchanger) reserve(target netip.AddrPort, maxConnections int) bool {
@@ -206,6 +203,7 @@
 }
 
 func (x *Exchanger) pushIdle(c *conn) {
+	c.watch.stop()
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	p := x.pools[c.target]
