exchanger: a response without the request's identifier is no target's

Cause: on a connection that had carried no other request, a response without identifier was believed from 300 on and skipped below, though targets repeat the identifier and nothing else can have been answered there.

Change: such a response ends the attempt at once as lost, so an idempotent request goes to another target, others get 502, and the server counts as failing. One that says that the request was not executed is believed as before. On used connections nothing changes.

TestResponseWithoutIdentifierIsNoAnswer failed before (5.0 s for a 200) and passes.

--- a/internal/connection/exchanger/conn.go
+++ b/internal/connection/exchanger/conn.go
@@ -41,7 +41,8 @@
 	Body   []byte
 	// IDHeader names the header field that a response repeats from its request. A
 	// response with another value, or with none on a connection that was used before, belongs
-	// to another request and is skipped.
+	// to another request and is skipped. One without a value on a new connection is that of a
+	// server that is no target, unless it says that the request was not executed.
 	IDHeader string
 	// NotExecuted reports whether a response says that the target did not execute
 	// the request.
@@ -257,6 +258,9 @@
 			continue
 		}
 		body, length := c.newBody(parsed, q.Method)
+		if c.isForeign(q, parsed) {
+			return nil, false, trace.BadParameter("the response, with status %d, does not repeat the identifier of the request", parsed.StatusCode)
+		}
 		if c.isMismatched(q, parsed) {
 			if err := skipBody(body, length); err != nil {
 				return nil, false, err
@@ -302,15 +306,25 @@
 	return response, nil
 }
 
+// isForeign reports whether a response comes from a server that is no target: it does not repeat
+// the identifier, and no other request can be the one that it belongs to.
+func (c *conn) isForeign(q *Request, parsed *http.Response) bool {
+	return c.unused && lacksIdentifier(q, parsed) && !q.NotExecuted(&sender.Response{Status: parsed.StatusCode, Header: parsed.Header})
+}
+
 // isMismatched reports whether a response belongs to another request. One that does not
-// repeat the identifier may be that to a health check, or a copy of an earlier refusal. It is
-// trusted only if the connection has carried no other request, and never as a success.
+// repeat the identifier may be that to a health check, or a copy of an earlier refusal, if the
+// connection has carried another request.
 func (c *conn) isMismatched(q *Request, parsed *http.Response) bool {
-	got, sent := parsed.Header.Get(q.IDHeader), q.id()
-	if got == "" && sent != "" {
-		return !c.unused || parsed.StatusCode < http.StatusMultipleChoices
+	if lacksIdentifier(q, parsed) {
+		return !c.unused
 	}
-	return got != sent
+	return parsed.Header.Get(q.IDHeader) != q.id()
+}
+
+// lacksIdentifier reports whether a response does not repeat the identifier of its request.
+func lacksIdentifier(q *Request, parsed *http.Response) bool {
+	return q.id() != "" && parsed.Header.Get(q.IDHeader) == ""
 }
 
 // id returns the identifier of the request, or nothing if it has none.
--- a/internal/connection/exchanger/repeated_test.go
+++ b/internal/connection/exchanger/repeated_test.go
@@ -130,3 +130,29 @@
 	}
 	require.EqualValues(t, 1, p.opened.Load())
 }
+
+// Guards against callers that get the response of a server that is no target, or wait for another
+// one until their deadline: targets repeat the identifier of a request. On a new connection a
+// response without it can only be that to this request; if it says so, the request has not run.
+func TestResponseWithoutIdentifierIsNoAnswer(t *testing.T) {
+	for _, status := range []int{200, 302, 404, 500, 503} {
+		for _, nonIdempotent := range []bool{false, true} {
+			p := startTarget(t, func(c net.Conn, _ string, _ int) bool {
+				write(c, fmt.Sprintf("HTTP/1.1 %d Foreign\r\nContent-Length: 5\r\n\r\nother", status))
+				return true
+			})
+			began := time.Now()
+			_, effect, err := send(New(), p, "1", nonIdempotent)
+			require.Error(t, err, status)
+			require.Equal(t, sender.Lost, effect, status)
+			require.Less(t, time.Since(began), time.Second, "waits for another response")
+		}
+	}
+	p := startTarget(t, func(c net.Conn, _ string, _ int) bool {
+		write(c, refusal(""))
+		return true
+	})
+	_, effect, err := send(New(), p, "1", true)
+	require.NoError(t, err)
+	require.Equal(t, sender.NotExecuted, effect)
+}
