inspector: read what the kernel knows of a connection in one package

The acceptor and the exchanger each had their way to a socket's descriptor. Moves only: the tests of the acceptor, and those of dead and paused targets, pass as before.

--- a/internal/connection/acceptor/receipt.go
+++ b/internal/connection/acceptor/receipt.go
@@ -1,10 +1,9 @@
 package acceptor
 
 import (
-	"net"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"oriolecourse.example/oriolecourse/internal/connection/inspector"
 )
 
 // receipt follows how much of what was sent to a client it has acknowledged.
@@ -32,7 +31,15 @@
 func (c *conn) awaitReceipt(closed <-chan struct{}) {
 	r, ticker := receipt{}, time.NewTicker(receiptInterval)
 	defer ticker.Stop()
-	for !r.isOver(unacknowledgedBytes(c.socket), time.Now(), c.acceptor.Limits().IdleTimeout) {
+	for {
+		unacknowledged, err := inspector.UnacknowledgedBytes(c.socket)
+		if err != nil {
+			// The system does not tell, so the client has the time of one that has everything.
+			unacknowledged = 0
+		}
+		if r.isOver(unacknowledged, time.Now(), c.acceptor.Limits().IdleTimeout) {
+			return
+		}
 		select {
 		case <-closed:
 			return
@@ -40,26 +47,3 @@
 		}
 	}
 }
-
-// unacknowledgedBytes returns the number of bytes that were written to a connection and that its
-// peer has not acknowledged; 0 if that is unknown, as for a connection that is closed.
-func unacknowledgedBytes(socket net.Conn) int {
-	t, ok := socket.(*net.TCPConn)
-	if !ok {
-		return 0
-	}
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	n := 0
-	if err := raw.Control(func(fd uintptr) {
-		n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
-	}); err != nil {
-		return 0
-	}
-	if err != nil {
-		return 0
-	}
-	return n
-}
--- a/internal/connection/exchanger/exchanger.go
+++ b/internal/connection/exchanger/exchanger.go
@@ -13,6 +13,7 @@
 
 	"github.com/gravitational/trace"
 
+	"oriolecourse.example/oriolecourse/internal/connection/inspector"
 	"oriolecourse.example/oriolecourse/internal/connection/reserver"
 )
 
@@ -169,12 +170,7 @@
 
 // limitSilence sets TCP_USER_TIMEOUT on a new socket.
 func limitSilence(_, _ string, raw syscall.RawConn) error {
-	var optionErr error
-	err := raw.Control(func(fd uintptr) { optionErr = setUserTimeout(int(fd), tcpUserTimeout) })
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	return optionErr
+	return inspector.SetRawUserTimeout(raw, tcpUserTimeout)
 }
 
 func (x *Exchanger) reserve(target netip.AddrPort, maxConnections int) bool {
--- a/internal/connection/exchanger/watch.go
+++ b/internal/connection/exchanger/watch.go
@@ -3,11 +3,11 @@
 import (
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
-	"golang.org/x/sys/unix"
+
+	"oriolecourse.example/oriolecourse/internal/connection/inspector"
 )
 
 const (
@@ -24,16 +24,6 @@
 // tcpUserTimeout.
 var errSilent = trace.ConnectionProblem(nil, "the target acknowledges nothing")
 
-// progress is what the kernel knows of a request on its way.
-type progress struct {
-	// isOutstanding means that sent bytes or window probes are not acknowledged.
-	isOutstanding bool
-	// isHeld means that bytes wait for the target's window.
-	isHeld bool
-	// acknowledged is when the target last acknowledged anything.
-	acknowledged time.Time
-}
-
 // verdict is what a check of a request on its way leads to.
 type verdict int
 
@@ -96,7 +86,7 @@
 	if w.isLifted {
 		w.isLifted = false
 		// It fails only on a closed connection.
-		_ = controlSocket(w.socket, func(fd int) error { return setUserTimeout(fd, tcpUserTimeout) })
+		_ = inspector.SetUserTimeout(w.socket, tcpUserTimeout)
 	}
 }
 
@@ -107,7 +97,7 @@
 	if w.stopped {
 		return
 	}
-	p, err := readProgress(w.socket, now)
+	p, err := inspector.ReadProgress(w.socket, now)
 	if err != nil {
 		// The connection is closed, or the system does not tell: the kernel's bound stays.
 		w.end()
@@ -124,7 +114,7 @@
 		return
 	case paused:
 		if !w.isLifted {
-			w.isLifted = controlSocket(w.socket, func(fd int) error { return setUserTimeout(fd, 0) }) == nil
+			w.isLifted = inspector.SetUserTimeout(w.socket, 0) == nil
 		}
 	case waiting:
 	}
@@ -132,10 +122,10 @@
 }
 
 // judge returns the verdict on a request on its way.
-func (w *watch) judge(p progress, isWritten bool, now time.Time) verdict {
-	if !p.isOutstanding {
+func (w *watch) judge(p inspector.Progress, isWritten bool, now time.Time) verdict {
+	if !p.IsOutstanding {
 		w.silentSince = time.Time{}
-		if p.isHeld {
+		if p.IsHeld {
 			return paused
 		}
 		if isWritten {
@@ -143,7 +133,7 @@
 		}
 		return waiting
 	}
-	if w.silentSince.IsZero() || p.acknowledged.After(w.silentSince) {
+	if w.silentSince.IsZero() || p.Acknowledged.After(w.silentSince) {
 		w.silentSince = now
 	}
 	// Otherwise the kernel decides, which knows the times better.
@@ -152,41 +142,3 @@
 	}
 	return waiting
 }
-
-// readProgress returns what the kernel knows at a time.
-func readProgress(socket net.Conn, now time.Time) (progress, error) {
-	p := progress{}
-	err := controlSocket(socket, func(fd int) error {
-		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err != nil {
-			return trace.Wrap(err)
-		}
-		p.isOutstanding = info.Unacked > 0 || info.Probes > 0
-		p.isHeld = info.Notsent_bytes > 0
-		p.acknowledged = now.Add(-time.Duration(info.Last_ack_recv) * time.Millisecond)
-		return nil
-	})
-	return p, err
-}
-
-// setUserTimeout bounds how long sent data may stay unacknowledged; 0 means no bound.
-func setUserTimeout(fd int, timeout time.Duration) error {
-	return trace.Wrap(unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds())))
-}
-
-// controlSocket calls a function with the descriptor of a socket.
-func controlSocket(socket net.Conn, do func(fd int) error) error {
-	s, ok := socket.(syscall.Conn)
-	if !ok {
-		return trace.BadParameter("a %T has no descriptor", socket)
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	var result error
-	if err := raw.Control(func(fd uintptr) { result = do(int(fd)) }); err != nil {
-		return trace.Wrap(err)
-	}
-	return result
-}
