exchanger: a status line with a control byte is no answer; FuzzResponseHead

FuzzResponseHead compares the reader of response heads with a plain one, written from RFC 9112: whether a head is valid, its status, where its body ends, its fields. It found 'HTTP/1.0 100 \r', a bare CR in the reason phrase, which net/http takes; other parsers end the line there. No caller got it, since the reason is not passed on.

Such a status line now ends the attempt.

--- a/internal/connection/exchanger/head.go
+++ b/internal/connection/exchanger/head.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/net/http/httpguts"
 
 	"oriolecourse.example/oriolecourse/internal/connection/scanner"
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
@@ -38,6 +39,8 @@
 		return trace.BadParameter("the target's response has the version %s, expected HTTP/1.0 or HTTP/1.1", parsed.Proto)
 	case status < http.StatusContinue || status > sender.MaxStatus:
 		return trace.BadParameter("the target's response has the status %q, expected 100 to %d", parsed.Status, sender.MaxStatus)
+	case !httpguts.ValidHeaderFieldValue(parsed.Status):
+		return trace.BadParameter("the status line of the target's response, %.100q, holds a control byte", parsed.Status)
 	case status == http.StatusSwitchingProtocols:
 		return trace.BadParameter("the target's response changes the protocol")
 	}
