--- a/internal/connection/acceptor/acceptor_test.go
+++ b/internal/connection/acceptor/acceptor_test.go
@@ -152,6 +152,7 @@
 		"two lengths":        {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde", http.StatusBadRequest},
 		"signed length":      {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\nabc", http.StatusBadRequest},
 		"unknown encoding":   {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", http.StatusBadRequest},
+		"chunks in HTTP/1.0": {"POST / HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", http.StatusBadRequest},
 		"malformed chunk":    {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", http.StatusBadRequest},
 		"space before colon": {"GET / HTTP/1.1\r\nHost : h\r\n\r\n", http.StatusBadRequest},
 		"other protocol":     {"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", http.StatusHTTPVersionNotSupported},
--- a/internal/connection/acceptor/reader.go
+++ b/internal/connection/acceptor/reader.go
@@ -19,8 +19,8 @@
 }
 
 // parseHead parses a head. It refuses a request with both Content-Length and
-// Transfer-Encoding, because two HTTP parsers may disagree on where its body ends
-// (request smuggling).
+// Transfer-Encoding, or with the latter in HTTP/1.0, because two HTTP parsers may disagree on
+// where its body ends (request smuggling).
 func parseHead(head []byte) (*http.Request, error) {
 	h, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
 	if err != nil {
@@ -30,9 +30,13 @@
 		return nil, &requestError{http.StatusBadRequest, err}
 	}
 	lower := bytes.ToLower(head)
-	if bytes.Contains(lower, []byte("\ncontent-length:")) && bytes.Contains(lower, []byte("\ntransfer-encoding:")) {
+	hasCoding := bytes.Contains(lower, []byte("\ntransfer-encoding:"))
+	if hasCoding && bytes.Contains(lower, []byte("\ncontent-length:")) {
 		return nil, &requestError{http.StatusBadRequest, trace.BadParameter("the request has both Content-Length and Transfer-Encoding")}
 	}
+	if hasCoding && !h.ProtoAtLeast(1, 1) {
+		return nil, &requestError{http.StatusBadRequest, trace.BadParameter("the request has a Transfer-Encoding, which %s does not know", h.Proto)}
+	}
 	if h.ProtoMajor != 1 {
 		return nil, &requestError{http.StatusHTTPVersionNotSupported, trace.BadParameter("the protocol version %s is not supported, want HTTP/1.0 or HTTP/1.1", h.Proto)}
 	}
