scanner: a line of bare CRs does not end a chunked body; FuzzChunks

FuzzChunks compares the reader of chunked bodies with a plain one, written from RFC 9112: a body that is taken must have the content, and what follows it, that the plain one finds. Its seed '0, CR CR LF, CR LF' showed that a trailer line of one bare CR ended the body, where a reader by the RFC goes on to the empty line behind it. What was left, an empty line, is skipped before the next request, so no caller was hurt; a longer trailer there would have been taken for a request.

The body now ends with an empty line only.

--- a/internal/connection/scanner/scanner.go
+++ b/internal/connection/scanner/scanner.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
 	"net/http/httputil"
 
@@ -34,7 +33,8 @@
 		if err != nil {
 			return 0, err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		// A line of bare CRs is not empty: other readers go on behind it.
+		if string(line) == "\n" || string(line) == "\r\n" {
 			return 0, io.EOF
 		}
 		remaining -= len(line)
