--- a/internal/connection/acceptor/receipt.go
+++ b/internal/connection/acceptor/receipt.go
@@ -9,9 +9,10 @@
 // receipt follows how much of what was sent to a client it has acknowledged.
 type receipt struct {
 	// unacknowledged is the number of bytes that the client had not acknowledged at the last
-	// check, and since when.
+	// check.
 	unacknowledged int
-	since          time.Time
+	// since is the first check at which it was that number.
+	since time.Time
 }
 
 // isOver records the unacknowledged bytes at a time, and reports whether a closing connection
--- a/internal/connection/exchanger/watch.go
+++ b/internal/connection/exchanger/watch.go
@@ -24,7 +24,7 @@
 // tcpUserTimeout.
 var errSilent = trace.ConnectionProblem(nil, "the target acknowledges nothing")
 
-// verdict is what a check of a request on its way leads to.
+// verdict is the result of a check of a request on its way.
 type verdict int
 
 const (
@@ -136,7 +136,7 @@
 	if w.silentSince.IsZero() || p.Acknowledged.After(w.silentSince) {
 		w.silentSince = now
 	}
-	// Otherwise the kernel decides, which knows the times better.
+	// While the kernel's bound is in force, it is for the kernel to end the connection.
 	if w.isLifted && now.Sub(w.silentSince) >= tcpUserTimeout {
 		return silent
 	}
