--- a/internal/standin/mutator/variants_test.go
+++ b/internal/standin/mutator/variants_test.go
@@ -80,7 +80,16 @@
 	}, {
 		"internal/process/composer/shutdown.go", "	awaitUntil(drainDeadline, func() bool { return i.acceptor.PendingRequests()+i.relayer.Executing() == 0 })\n", "",
 	}, {
-		"internal/process/composer/shutdown.go", "	awaitUntil(closeDeadline, func() bool { return i.acceptor.OpenConnections() == 0 })\n", "	_ = closeDeadline\n",
+		"internal/process/composer/shutdown.go", "	awaitUntil(drainDeadline, func() bool { return i.acceptor.OpenConnections() == 0 })\n", "",
+	}}},
+	{"TestSlowReaderReceivesTheLastResponse", "internal/connection/acceptor", []Edit{{
+		"internal/connection/acceptor/receipt.go", "	return now.Sub(r.since) >= idleTimeout\n", "	return now.Sub(r.since) >= lingerTimeout\n",
+	}}},
+	{"TestTargetThatPausesInReadingIsNotDead", "internal/connection/exchanger", []Edit{{
+		"internal/connection/exchanger/watch.go", "		if !w.isLifted {\n", "		if false {\n",
+	}}},
+	{"TestDeadTargetIsNoticed", "internal/connection/exchanger", []Edit{{
+		"internal/connection/exchanger/watch.go", "	if w.isLifted && now.Sub(w.silentSince) >= tcpUserTimeout {\n", "	if false {\n",
 	}}},
 	{"TestNothingIsSmuggled", "internal/connection/acceptor", []Edit{{
 		"internal/connection/acceptor/conn.go", "	h, err := parseHead(head)\n", "	h, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))\n",
