Tests: an unreachable address that no other process can take

The address was that of a server that had been closed; in the two seconds until that attempt another process can take its port. The address now has port 1.

--- a/internal/standin/loader/loader_test.go
+++ b/internal/standin/loader/loader_test.go
@@ -31,13 +31,15 @@
 	script func(w http.ResponseWriter, id string, n int)
 }
 
+// unreachable is an address at which nobody listens. The port of a server that was closed may be
+// taken by another process.
+var unreachable = netip.MustParseAddrPort("127.0.0.1:1")
+
 // newInstance starts a fake instance whose address list holds an unreachable
 // address, then its own.
 func newInstance(t *testing.T, script func(http.ResponseWriter, string, int)) *instance {
 	t.Helper()
-	closed := httptest.NewServer(nil)
-	i := &instance{script: script, dead: address(closed)}
-	closed.Close()
+	i := &instance{script: script, dead: unreachable}
 	i.Server = httptest.NewServer(i)
 	t.Cleanup(i.Close)
 	return i
