--- a/internal/connection/acceptor/receipt_test.go
+++ b/internal/connection/acceptor/receipt_test.go
@@ -8,24 +8,18 @@
 	"io"
 	"net"
 	"net/http"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"oriolecourse.example/oriolecourse/internal/standin/shrinker"
 )
 
 // dialSmall opens a connection whose receive buffer holds far less than a large response.
 func dialSmall(t *testing.T, address string) net.Conn {
 	t.Helper()
-	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) (err error) {
-		if e := c.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10)
-		}); e != nil {
-			return e
-		}
-		return err
-	}}
+	d := net.Dialer{Control: shrinker.ShrinkReceiveBuffer}
 	c, err := d.DialContext(t.Context(), "tcp4", address)
 	require.NoError(t, err)
 	require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
--- a/internal/connection/exchanger/window_test.go
+++ b/internal/connection/exchanger/window_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"syscall"
 	"testing"
 	"time"
 
@@ -16,19 +15,13 @@
 	"golang.org/x/sys/unix"
 
 	"oriolecourse.example/oriolecourse/internal/connection/sender"
+	"oriolecourse.example/oriolecourse/internal/standin/shrinker"
 )
 
 // listenSmall listens for connections whose receive buffer holds far less than a long request.
 func listenSmall(t *testing.T) net.Listener {
 	t.Helper()
-	c := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
-		if e := raw.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10)
-		}); e != nil {
-			return e
-		}
-		return err
-	}}
+	c := net.ListenConfig{Control: shrinker.ShrinkReceiveBuffer}
 	l, err := c.Listen(t.Context(), "tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { l.Close() })
