scanner: HasField, for the acceptor and the exchanger

Both looked for Transfer-Encoding by a lower-case copy of the whole head, the acceptor for each request. HasField compares the names of the lines, without a copy. The names are tokens by then, so the result is the same.

--- a/internal/connection/acceptor/reader.go
+++ b/internal/connection/acceptor/reader.go
@@ -29,9 +29,8 @@
 	if err := scanner.CheckFieldNames(head); err != nil {
 		return nil, &requestError{http.StatusBadRequest, err}
 	}
-	lower := bytes.ToLower(head)
-	hasCoding := bytes.Contains(lower, []byte("\ntransfer-encoding:"))
-	if hasCoding && bytes.Contains(lower, []byte("\ncontent-length:")) {
+	hasCoding := scanner.HasField(head, "Transfer-Encoding")
+	if hasCoding && scanner.HasField(head, "Content-Length") {
 		return nil, &requestError{http.StatusBadRequest, trace.BadParameter("the request has both Content-Length and Transfer-Encoding")}
 	}
 	if hasCoding && !h.ProtoAtLeast(1, 1) {
--- a/internal/connection/exchanger/head.go
+++ b/internal/connection/exchanger/head.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "the target's response is not valid HTTP")
 	}
-	if !parsed.ProtoAtLeast(1, 1) && bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding:")) {
+	if !parsed.ProtoAtLeast(1, 1) && scanner.HasField(head, "Transfer-Encoding") {
 		return nil, trace.BadParameter("the target's response has a Transfer-Encoding, which %s does not know", parsed.Proto)
 	}
 	return parsed, checkStatusLine(parsed)
--- a/internal/connection/scanner/head.go
+++ b/internal/connection/scanner/head.go
@@ -77,6 +77,17 @@
 	return nil
 }
 
+// HasField reports whether a line of a head names a field, in any case. The names of the head's
+// fields are tokens.
+func HasField(head []byte, name string) bool {
+	for line := range bytes.Lines(head[bytes.IndexByte(head, '\n')+1:]) {
+		if found, _, _ := bytes.Cut(line, []byte(":")); bytes.EqualFold(found, []byte(name)) {
+			return true
+		}
+	}
+	return false
+}
+
 // CheckLines returns an error for a head that CheckFieldNames rejects, or with a line that ends
 // unlike the first one or continues the line before it (RFC 9112, 2.2 and 5.2). Such lines
 // cannot be told from a field whose name begins with a line feed or a blank.
